--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,267 @@
+/** @file agent.cpp The agent's events, its tick, and what it says of itself. */
+#include "agent/agent_base.h"
+
+#include "core/hash_func.h"
+#include "core/status_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration fetchPeriod = 500ms;
+    constexpr Duration loadPeriod = 200ms;
+    constexpr Duration loadRefresh = 2s; ///< Unchanged load is sent again this often.
+    constexpr Duration weightPeriod = 1s; ///< Between two announcements of a changed weight.
+    constexpr Duration expiryPeriod = 1s;
+    constexpr Duration flowIdleTime = 1h;
+    constexpr Duration noticePeriod = 300ms;
+    constexpr int noticeRepeats = 6;
+    constexpr uint16_t weightPerSlot = 100;
+
+    MemberRecord selfRecord(const AgentSettings& settings)
+    {
+        return { .address = settings.address, .role = MemberRole::Agent, .zone = settings.zone, .service = settings.service, .incarnation = settings.incarnation, .version = 1, .state = MemberState::Cold, .slots = settings.slots, .weight = weightPerSlot };
+    }
+
+    bool isWorthSending(const LoadNews& sent, const LoadNews& load)
+    {
+        const uint32_t moved = sent.openFlows > load.openFlows ? sent.openFlows - load.openFlows : load.openFlows - sent.openFlows;
+        return moved * 100 > sent.openFlows || sent.inFlight != load.inFlight || sent.limit != load.limit;
+    }
+
+} // namespace
+
+Agent::Agent(const AgentSettings& settings, Random& random)
+    : settings(settings)
+    , serviceHash(hashText(settings.service))
+    , random(random)
+    , requests(settings.service, this->flows, random, this->count)
+    , peers(selfRecord(settings), random)
+{
+    this->requests.admission().setSlots(settings.slots);
+}
+
+void Agent::onMessage(TimePoint now, const Message& message, Actions& actions)
+{
+    if (const auto* forwarded = std::get_if<ForwardedPacket>(&message)) {
+        this->handle(now, *forwarded, actions);
+    } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
+        this->handle(now, *query, actions);
+    } else if (const auto* queryReply = std::get_if<FlowQueryReply>(&message)) {
+        this->handle(now, *queryReply, actions);
+    } else if (const auto* move = std::get_if<FlowMove>(&message)) {
+        this->handle(now, *move, actions);
+    } else if (const auto* moveReply = std::get_if<FlowMoveReply>(&message)) {
+        this->handle(now, *moveReply, actions);
+    } else if (const auto* news = std::get_if<LoadNews>(&message)) {
+        this->peers.onLoadNews(now, *news);
+    } else if (const auto* reply = std::get_if<AnnounceReply>(&message)) {
+        this->handle(now, *reply, actions);
+    }
+}
+
+void Agent::handle(TimePoint now, const AnnounceReply& reply, Actions& actions)
+{
+    this->peers.onReply(now, reply, actions);
+    this->noteRevision(now, reply.balancer, reply.revision, actions);
+}
+
+void Agent::noteRevision(TimePoint now, Address balancer, Revision revision, Actions& actions)
+{
+    if (revision <= this->follower.revision() || now < this->nextFetch) {
+        return;
+    }
+    this->nextFetch = now + fetchPeriod;
+    actions.push_back(FetchSnapshot { balancer, { .have = this->follower.revision(), .service = this->serviceHash } });
+}
+
+void Agent::onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions)
+{
+    for (const MemberRecord& record : snapshot.members) {
+        this->peers.learn(now, record);
+    }
+    if (snapshot.rules.empty()) {
+        return;
+    }
+    const absl::Status status = this->follower.offer(now, snapshot.revision, snapshot.rules);
+    if (!status.ok()) {
+        this->count.add(absl::IsAlreadyExists(status) ? Counter::ConfigurationsOld : Counter::ConfigurationsRefused);
+        return;
+    }
+    this->count.add(Counter::ConfigurationsAccepted);
+    this->applyConfiguration(now, actions);
+}
+
+void Agent::applyConfiguration(TimePoint now, Actions& actions)
+{
+    const ServiceRule* rule = this->follower.current().findService(this->settings.service);
+    if (rule != nullptr) {
+        this->requests.admission().setSlots(std::min(rule->slots, this->settings.slots));
+    }
+    if (this->isZoneOut() && !this->wasZoneOut) {
+        this->giveUpFlows(now, actions);
+    }
+    if (!this->isZoneOut() && this->wasZoneOut) {
+        this->requests.admission().onColdStart();
+        std::erase_if(this->traces, [](const auto& entry) { return entry.second.kind == TraceKind::Elsewhere; });
+    }
+    this->wasZoneOut = this->isZoneOut();
+    this->refreshSelf(now);
+    this->refreshTable();
+}
+
+void Agent::giveUpFlows(TimePoint now, Actions& actions)
+{
+    this->notices.clear();
+    for (auto& [key, flow] : this->flows) {
+        FlowNotice notice { .event = FlowEvent::GivenUp, .zone = this->settings.zone };
+        notice.mayHaveRun = this->requests.endFlow(now, flow, VerdictReason::ZoneOut, actions);
+        notice.mayHaveRun.resize(std::min(notice.mayHaveRun.size(), size_t { maximumParts / 4 }));
+        this->notify(key, notice, actions);
+        this->notices.emplace_back(key, std::move(notice));
+        this->remember(now, key, TraceKind::GivenUp, {});
+        this->count.add(Counter::FlowsGivenUp);
+    }
+    this->flows.clear();
+    this->searches.clear();
+    this->noticeRounds = noticeRepeats;
+    this->nextNotice = now + noticePeriod;
+}
+
+void Agent::repeatNotices(TimePoint now, Actions& actions)
+{
+    if (this->noticeRounds == 0 || now < this->nextNotice) {
+        return;
+    }
+    for (const auto& [flow, notice] : this->notices) {
+        this->notify(flow, notice, actions);
+    }
+    this->nextNotice = now + noticePeriod;
+    if (--this->noticeRounds == 0) {
+        this->notices.clear();
+    }
+}
+
+void Agent::onUpstreamResult(TimePoint now, const UpstreamResult& result, Actions& actions)
+{
+    this->requests.onUpstreamResult(now, result, actions);
+}
+
+void Agent::onUpstreamHealth(TimePoint /*now*/, const UpstreamHealth& health)
+{
+    // Health is believed only where it asks for less; that the upstream can carry more, completed work has to show.
+    if (!health.isReachable) {
+        return;
+    }
+    this->isUpstreamDraining = health.isDraining;
+    if (health.incarnation != 0 && health.incarnation != this->upstreamIncarnation) {
+        if (this->upstreamIncarnation != 0) {
+            this->requests.admission().onColdStart();
+        }
+        this->upstreamIncarnation = health.incarnation;
+    }
+}
+
+bool Agent::isLeaving() const
+{
+    return this->isStopping || this->isUpstreamDraining || this->follower.current().drained.contains(this->settings.address);
+}
+
+void Agent::refreshSelf(TimePoint now)
+{
+    const AdmissionLimiter& limiter = this->requests.admission();
+    const MemberRecord& own = this->peers.self();
+    MemberState state = limiter.isWarm() ? MemberState::Ready : MemberState::Cold;
+    if (this->isLeaving()) {
+        state = MemberState::Draining;
+    }
+    const auto weight = static_cast<uint16_t>(limiter.limit() * weightPerSlot);
+    const bool isStateChange = (state == MemberState::Draining) != (own.state == MemberState::Draining);
+    const bool isDue = now - this->lastAnnouncedChange >= weightPeriod;
+    if (state == own.state && weight == own.weight && limiter.maximum() == own.slots) {
+        return;
+    }
+    if (isStateChange || isDue) {
+        // A leaving agent keeps its weight: its buckets must rank as before, so that its flows are found.
+        this->peers.setSelf(state, state == MemberState::Draining ? own.weight : weight, limiter.maximum());
+        this->lastAnnouncedChange = now;
+    }
+}
+
+void Agent::refreshTable()
+{
+    if (this->tableAt == this->peers.changeCount() && this->tableRevision == this->follower.revision()) {
+        return;
+    }
+    this->tableAt = this->peers.changeCount();
+    this->tableRevision = this->follower.revision();
+    const ServiceRule* rule = this->follower.current().findService(this->settings.service);
+    this->table = rule == nullptr ? BucketTable() : BucketTable(bucketMembers(this->peers.everyone(), *rule, this->follower.current()));
+}
+
+void Agent::sendLoad(TimePoint now, Actions& actions)
+{
+    if (now < this->nextLoad) {
+        return;
+    }
+    this->nextLoad = now + loadPeriod;
+    LoadNews load { .service = this->serviceHash, .agent = this->settings.address, .openFlows = static_cast<uint32_t>(this->flows.size()) };
+    load.inFlight = static_cast<uint16_t>(this->requests.inFlight() + this->requests.queued());
+    load.limit = this->requests.admission().limit();
+    if (isWorthSending(this->sentLoad, load) || now - this->lastLoad >= loadRefresh) {
+        this->peers.sendLoad(now, load, actions);
+        this->sentLoad = load;
+        this->lastLoad = now;
+    }
+}
+
+void Agent::expireFlows(TimePoint now)
+{
+    if (now < this->nextExpiry) {
+        return;
+    }
+    this->nextExpiry = now + expiryPeriod;
+    std::erase_if(this->traces, [now](const auto& entry) { return entry.second.expires <= now; });
+    const size_t expired = std::erase_if(this->flows, [now](const auto& entry) {
+        return now - entry.second.lastHeard >= flowIdleTime && entry.second.requests.empty() && !entry.second.movingTo.isValid();
+    });
+    this->count.add(Counter::FlowsExpired, expired);
+}
+
+void Agent::tick(TimePoint now, Actions& actions)
+{
+    this->requests.setStarting(!this->isLeaving() && !this->isZoneOut());
+    this->refreshSelf(now);
+    this->refreshTable();
+    this->requests.tick(now, actions);
+    this->moveFlows(now, actions);
+    this->tickSearches(now, actions);
+    this->repeatNotices(now, actions);
+    this->sendLoad(now, actions);
+    this->peers.tick(now, this->follower.revision(), actions);
+    this->expireFlows(now);
+    this->lastTick = now;
+}
+
+std::string Agent::status(TimePoint now) const
+{
+    StatusView view { .role = "agent", .address = this->settings.address, .zone = this->settings.zone, .service = this->settings.service, .state = toString(this->peers.self().state), .revision = this->follower.revision(), .counters = &this->count };
+    view.revisionAge = now - this->follower.inForceSince();
+    view.numbers = {
+        { "flows", this->flows.size() },
+        { "in_flight", this->requests.inFlight() },
+        { "queued", this->requests.queued() },
+        { "limit", this->requests.admission().limit() },
+        { "slots", this->requests.admission().maximum() },
+        { "peers", this->peers.others().size() },
+        { "last_packet_age_ms", this->lastPacket == TimePoint {} ? 0 : static_cast<uint64_t>(toMilliseconds(now - this->lastPacket)) },
+        { "latency_mean_us", static_cast<uint64_t>(std::llround(this->requests.meanLatency() * 1000)) },
+        { "latency_p99_us", static_cast<uint64_t>(std::llround(this->requests.latencyQuantile99() * 1000)) },
+    };
+    return formatStatus(view);
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/agent/agent_move.cpp
@@ -0,0 +1,111 @@
+/** @file agent_move.cpp Hands the flows of a leaving agent to the agents that the balancers will choose next. */
+#include "agent/agent_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace lavender {
+
+namespace {
+
+    constexpr size_t movesPerTick = 200;
+    constexpr Duration moveRepeat = 300ms;
+
+} // namespace
+
+Address Agent::moveTarget(const FlowKey& flow) const
+{
+    const BucketChoice& choice = this->table.choose(hashFlow(flow));
+    for (uint16_t index : { choice.home, choice.second }) {
+        if (index != BucketChoice::none && this->table.members()[index].address != this->settings.address) {
+            return this->table.members()[index].address;
+        }
+    }
+    return {};
+}
+
+void Agent::sendMove(TimePoint now, Flow& flow, Address target, Actions& actions)
+{
+    flow.movingTo = target;
+    flow.moveSent = now;
+    actions.push_back(SendMessage { target, FlowMove { this->serviceHash, flow.key, this->settings.address, flow.finished.through } });
+}
+
+void Agent::moveFlows(TimePoint now, Actions& actions)
+{
+    if (!this->isLeaving()) {
+        // A move under way is finished all the same: the other agent may have the flow already.
+        const bool isAnyMoving = std::any_of(this->flows.begin(), this->flows.end(), [](const auto& entry) { return entry.second.movingTo.isValid(); });
+        if (!isAnyMoving) {
+            return;
+        }
+    }
+    size_t sent = 0;
+    for (auto& [key, flow] : this->flows) {
+        if (sent >= movesPerTick) {
+            break;
+        }
+        if (flow.movingTo.isValid()) {
+            if (!this->mayReceive(flow.movingTo)) {
+                flow.movingTo = {};
+            } else if (now - flow.moveSent >= moveRepeat) {
+                this->sendMove(now, flow, flow.movingTo, actions);
+                ++sent;
+            }
+            continue;
+        }
+        const Address target = this->isLeaving() ? this->moveTarget(key) : Address {};
+        if (!target.isValid() || !this->requests.isIdle(now, flow)) {
+            continue;
+        }
+        this->requests.dropUnstarted(now, flow);
+        flow.finished.collapse();
+        this->sendMove(now, flow, target, actions);
+        ++sent;
+    }
+}
+
+void Agent::handle(TimePoint now, const FlowMove& move, Actions& actions)
+{
+    if (move.service != this->serviceHash) {
+        this->count.add(Counter::PacketsWrongService);
+        return;
+    }
+    FlowMoveReply reply { .flow = move.flow, .responder = this->settings.address, .isTaken = true };
+    if (!this->flows.contains(move.flow)) {
+        const auto trace = this->traces.find(move.flow);
+        const bool isFinished = trace != this->traces.end() && (trace->second.kind != TraceKind::Elsewhere || trace->second.owner != move.from);
+        if (!isFinished && this->canCarry()) {
+            Flow& flow = this->flows[move.flow];
+            flow.key = move.flow;
+            flow.lastHeard = now;
+            flow.finished.through = move.finishedThrough;
+            this->traces.erase(move.flow);
+            this->searches.erase(move.flow);
+            this->count.add(Counter::FlowsReceived);
+        } else {
+            // A finished flow was taken by an earlier copy of this message and has ended here since.
+            reply.isTaken = isFinished;
+        }
+    }
+    actions.push_back(SendMessage { move.from, reply });
+}
+
+void Agent::handle(TimePoint now, const FlowMoveReply& reply, Actions& actions)
+{
+    (void)actions;
+    const auto found = this->flows.find(reply.flow);
+    if (found == this->flows.end() || found->second.movingTo != reply.responder) {
+        return;
+    }
+    if (!reply.isTaken) {
+        found->second.movingTo = {};
+        return;
+    }
+    this->flows.erase(found);
+    this->remember(now, reply.flow, TraceKind::Elsewhere, reply.responder);
+    this->count.add(Counter::FlowsMoved);
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/agent/agent_search.cpp
@@ -0,0 +1,117 @@
+/** @file agent_search.cpp The last resort for a flow without a known owner: all agents of the service are asked. */
+#include "agent/agent_base.h"
+
+#include <algorithm>
+
+namespace lavender {
+
+namespace {
+
+    constexpr double searchesPerSecond = 200;
+    constexpr double searchBurst = 400;
+    constexpr size_t maximumSearches = 1024;
+    constexpr Duration askPeriod = 300ms;
+    constexpr Duration searchTime = 10s; ///< Ends without a word to the caller where agents stay silent.
+
+} // namespace
+
+void Agent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
+{
+    const FlowKey& key = forwarded.packet.flow;
+    if (const auto running = this->searches.find(key); running != this->searches.end()) {
+        running->second.packet = forwarded;
+        return;
+    }
+    if (this->searchTokens < 1 || this->searches.size() >= maximumSearches) {
+        this->count.add(Counter::SearchesLimited);
+        return;
+    }
+    this->searchTokens -= 1;
+    this->count.add(Counter::Searches);
+    Search& search = this->searches[key];
+    search.packet = forwarded;
+    search.begun = now;
+    search.asked = now;
+    for (const MemberRecord& peer : this->peers.others()) {
+        if (this->mayReceive(peer.address)) {
+            search.waiting.insert(peer.address);
+            actions.push_back(SendMessage { peer.address, FlowQuery { this->serviceHash, key, this->settings.address } });
+        }
+    }
+}
+
+void Agent::handle(TimePoint now, const FlowQuery& query, Actions& actions)
+{
+    if (query.service != this->serviceHash) {
+        this->count.add(Counter::PacketsWrongService);
+        return;
+    }
+    FlowQueryReply reply { .flow = query.flow, .responder = this->settings.address };
+    if (this->flows.contains(query.flow)) {
+        reply.owner = this->settings.address;
+    } else if (const auto trace = this->traces.find(query.flow); trace != this->traces.end() && trace->second.kind == TraceKind::Elsewhere) {
+        const bool isUseful = trace->second.owner != query.asker && this->mayReceive(trace->second.owner);
+        reply.owner = isUseful ? trace->second.owner : Address {};
+    }
+    (void)now;
+    actions.push_back(SendMessage { query.asker, reply });
+}
+
+void Agent::handle(TimePoint now, const FlowQueryReply& reply, Actions& actions)
+{
+    const auto found = this->searches.find(reply.flow);
+    if (found == this->searches.end()) {
+        return;
+    }
+    if (!reply.owner.isValid()) {
+        found->second.waiting.erase(reply.responder);
+        this->finishSearch(now, reply.flow, actions);
+        return;
+    }
+    // Only the owner's own word ends the search: another agent's may be older than what it points at.
+    if (reply.owner != reply.responder) {
+        return;
+    }
+    ForwardedPacket forwarded = std::move(found->second.packet);
+    this->searches.erase(found);
+    this->remember(now, reply.flow, TraceKind::Elsewhere, reply.owner);
+    this->forward(forwarded, reply.owner, actions);
+}
+
+void Agent::finishSearch(TimePoint now, const FlowKey& flow, Actions& actions)
+{
+    (void)now;
+    const auto found = this->searches.find(flow);
+    if (found == this->searches.end() || !found->second.waiting.empty() || !this->peers.isSynchronized()) {
+        return;
+    }
+    // Every agent that could hold the flow has said that it does not.
+    this->searches.erase(found);
+    this->count.add(Counter::FlowsLost);
+    this->notify(flow, { .event = FlowEvent::Lost, .zone = this->settings.zone }, actions);
+}
+
+void Agent::tickSearches(TimePoint now, Actions& actions)
+{
+    const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
+    this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
+    std::vector<FlowKey> settled;
+    for (auto& [flow, search] : this->searches) {
+        std::erase_if(search.waiting, [this](Address peer) { return !this->mayReceive(peer); });
+        if (search.waiting.empty() || now - search.begun >= searchTime) {
+            settled.push_back(flow);
+        } else if (now - search.asked >= askPeriod) {
+            search.asked = now;
+            for (Address peer : search.waiting) {
+                actions.push_back(SendMessage { peer, FlowQuery { this->serviceHash, flow, this->settings.address } });
+            }
+        }
+    }
+    std::sort(settled.begin(), settled.end());
+    for (const FlowKey& flow : settled) {
+        this->finishSearch(now, flow, actions);
+        this->searches.erase(flow);
+    }
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/agent/peer_base.h
@@ -0,0 +1,79 @@
+/** @file peer_base.h What an agent knows of the other agents of its service and of the balancers. */
+#pragma once
+
+#include "core/action_type.h"
+#include "core/random_base.h"
+#include "member/member_table.h"
+#include "steer/bucket_table.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace lavender {
+
+/** What a peer said of its load and when that came. */
+struct PeerLoad {
+    uint32_t openFlows = 0;
+    uint16_t inFlight = 0;
+    uint16_t limit = 0;
+    TimePoint heard {};
+};
+
+/** Announces this agent to balancers and keeps what they and the peers tell. */
+class PeerSystem {
+public:
+    PeerSystem(MemberRecord self, Random& random);
+
+    void addBalancers(std::span<const Address> balancers);
+    void onReply(TimePoint now, const AnnounceReply& reply, Actions& actions);
+    void onLoadNews(TimePoint now, const LoadNews& news);
+    void learn(TimePoint now, const MemberRecord& record);
+
+    /** Renews announcements that are due. */
+    void tick(TimePoint now, Revision revision, Actions& actions);
+
+    /** Sends the load to some peers, in turn. */
+    void sendLoad(TimePoint now, const LoadNews& load, Actions& actions);
+
+    /** Changes what the agent says of itself; a change is announced at once. */
+    void setSelf(MemberState state, uint16_t weight, uint16_t slots);
+
+    /** Says that this agent is gone. */
+    void leave(TimePoint now, Revision revision, Actions& actions);
+
+    const MemberRecord& self() const { return this->own; }
+    const MemberRecord* find(Address peer) const;
+    std::optional<PeerLoad> load(Address peer) const;
+
+    /** All agents of the service but this one that are not gone. */
+    std::vector<MemberRecord> others() const;
+    /** The same and this one. */
+    std::vector<MemberRecord> everyone() const;
+    /** True once a balancer agreed that nothing is missing here. */
+    bool isSynchronized() const { return this->hasAgreed; }
+    uint64_t changeCount() const { return this->peers.changeCount(); }
+
+private:
+    struct BalancerContact {
+        TimePoint sent {};
+        TimePoint unansweredSince {}; ///< Of the first announcement without an answer; zero where there is none.
+        TimePoint avoidUntil {};
+    };
+
+    void announce(TimePoint now, Address balancer, Revision revision, Actions& actions);
+    std::vector<Address> sponsors(TimePoint now) const;
+
+    MemberRecord own;
+    Random& random;
+    MemberTable peers;
+    std::map<Address, BalancerContact> balancers;
+    std::map<Address, PeerLoad> loads;
+    bool isUrgent = true; ///< Announce at the next tick.
+    bool hasAgreed = false;
+    Address nextLoadPeer;
+    Revision revision = 0;
+};
+
+} // namespace lavender
--- /dev/null
+++ b/src/balancer/balancer.cpp
@@ -0,0 +1,235 @@
+/** @file balancer.cpp The balancer's events. */
+#include "balancer/balancer_base.h"
+
+#include "core/hash_func.h"
+#include "core/status_func.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lavender {
+
+namespace {
+
+    constexpr size_t watchersPerZone = 2;
+    constexpr Duration fetchPeriod = 500ms; ///< A newer revision is fetched this often until it is here.
+    constexpr size_t announcedBalancers = 6; ///< Named to an agent in each reply.
+
+    MemberRecord selfRecord(const BalancerSettings& settings)
+    {
+        return { .address = settings.address, .role = MemberRole::Balancer, .zone = settings.zone, .incarnation = settings.incarnation, .version = 1, .state = MemberState::Ready };
+    }
+
+    std::vector<MemberRecord> agentsOf(const MemberTable& table, std::string_view service)
+    {
+        std::vector<MemberRecord> records;
+        for (const auto& [address, member] : table.all()) {
+            if (member.record.role == MemberRole::Agent && member.record.service == service && member.record.liveness != Liveness::Gone) {
+                records.push_back(member.record);
+            }
+        }
+        return records;
+    }
+
+} // namespace
+
+Balancer::Balancer(const BalancerSettings& settings, std::unique_ptr<Steering> steering, Random& random)
+    : settings(settings)
+    , steering(std::move(steering))
+    , members(selfRecord(settings), random, this->count)
+{
+}
+
+void Balancer::onMessage(TimePoint now, const Message& message, Actions& actions)
+{
+    if (const auto* packet = std::get_if<FlowPacket>(&message)) {
+        this->handle(now, *packet, actions);
+    } else if (const auto* announce = std::get_if<Announce>(&message)) {
+        this->handle(now, *announce, actions);
+    } else if (const auto* gossip = std::get_if<Gossip>(&message)) {
+        this->handle(now, *gossip, actions);
+    } else if (const auto* exchange = std::get_if<DigestExchange>(&message)) {
+        this->members.onDigestExchange(now, *exchange, actions);
+    }
+}
+
+void Balancer::handle(TimePoint now, const FlowPacket& packet, Actions& actions)
+{
+    this->count.add(Counter::PacketsReceived);
+    const Configuration& configuration = this->follower.current();
+    const auto service = configuration.serviceByAddress.find(packet.flow.service);
+    if (service == configuration.serviceByAddress.end() || packet.isToCaller) {
+        this->count.add(Counter::PacketsNoService);
+        return;
+    }
+    ForwardedPacket forwarded { .packet = packet };
+    if (!this->steering->route(now, configuration.services[service->second.value], forwarded)) {
+        this->count.add(Counter::PacketsNoUpstream);
+        return;
+    }
+    this->count.add(Counter::PacketsForwarded);
+    const Address first = forwarded.candidates.front();
+    actions.push_back(SendMessage { first, std::move(forwarded) });
+}
+
+void Balancer::handle(TimePoint now, const Announce& announce, Actions& actions)
+{
+    const MemberRecord& record = announce.record;
+    const Configuration& configuration = this->follower.current();
+    if (record.role != MemberRole::Agent || record.address == this->settings.address || (this->follower.hasAny() && !configuration.mayAnnounce(record.service, record.zone))) {
+        this->count.add(Counter::AnnouncesRefused);
+        return;
+    }
+    this->members.learn(now, record);
+    this->members.onHeartbeat(now, record.address);
+    const Member* known = this->members.table().find(record.address);
+    AnnounceReply reply { .balancer = this->settings.address, .revision = this->follower.revision() };
+    if (known != nullptr) {
+        reply.knownIncarnation = known->record.incarnation;
+        reply.knownVersion = known->record.version;
+        reply.knownLiveness = known->record.liveness;
+    }
+    std::vector<MemberRecord> peers = agentsOf(this->members.table(), record.service);
+    if (digestRecords(peers) != announce.peersDigest) {
+        constexpr size_t peersBudgetBytes = 1100;
+        size_t bytes = 0;
+        for (const MemberRecord& peer : peers) {
+            bytes += encodedBytes(peer);
+            if (bytes > peersBudgetBytes || reply.peers.size() >= maximumRecordsPerDatagram) {
+                actions.push_back(SendMessage { record.address, reply });
+                reply.peers.clear();
+                bytes = encodedBytes(peer);
+            }
+            reply.peers.push_back(peer);
+        }
+    }
+    reply.balancers = this->members.balancers(record.zone);
+    std::sort(reply.balancers.begin(), reply.balancers.end(), [&record](Address left, Address right) {
+        return hashPair(left.packed(), record.address.packed()) > hashPair(right.packed(), record.address.packed());
+    });
+    reply.balancers.resize(std::min(reply.balancers.size(), announcedBalancers));
+    actions.push_back(SendMessage { record.address, std::move(reply) });
+}
+
+void Balancer::handle(TimePoint now, const Gossip& gossip, Actions& actions)
+{
+    this->members.onGossip(now, gossip, this->follower.revision(), actions);
+    this->noteRevision(now, gossip.sender, gossip.revision, actions);
+}
+
+void Balancer::noteRevision(TimePoint now, Address peer, Revision revision, Actions& actions)
+{
+    if (revision <= this->follower.revision() || now < this->nextFetch) {
+        return;
+    }
+    this->nextFetch = now + fetchPeriod;
+    actions.push_back(FetchSnapshot { peer, { .have = this->follower.revision() } });
+}
+
+absl::Status Balancer::onConfiguration(TimePoint now, Revision revision, std::string_view rules)
+{
+    const absl::Status status = this->follower.offer(now, revision, rules);
+    if (status.ok()) {
+        this->count.add(Counter::ConfigurationsAccepted);
+        this->refreshTables(now);
+    } else {
+        this->count.add(absl::IsAlreadyExists(status) ? Counter::ConfigurationsOld : Counter::ConfigurationsRefused);
+    }
+    return status;
+}
+
+void Balancer::onSnapshot(TimePoint now, const Snapshot& snapshot)
+{
+    for (const MemberRecord& record : snapshot.members) {
+        this->members.learn(now, record);
+    }
+    if (!snapshot.rules.empty()) {
+        (void)this->onConfiguration(now, snapshot.revision, snapshot.rules);
+    }
+    this->refreshTables(now);
+}
+
+void Balancer::onSeeds(TimePoint now, std::span<const Address> seeds, Actions& actions)
+{
+    this->members.addSeeds(now, seeds, this->follower.revision(), actions);
+    // A process that knows nobody takes the whole table at once instead of waiting for gossip.
+    if (this->members.balancers("").empty() && !seeds.empty() && now >= this->nextFetch) {
+        for (Address seed : seeds) {
+            if (seed != this->settings.address) {
+                this->nextFetch = now + fetchPeriod;
+                actions.push_back(FetchSnapshot { seed, { .have = this->follower.revision() } });
+                break;
+            }
+        }
+    }
+}
+
+void Balancer::refreshTables(TimePoint now)
+{
+    const MemberTable& table = this->members.table();
+    if (table.changeCount() == this->tablesAt && this->follower.revision() == this->tablesRevision) {
+        return;
+    }
+    this->tablesAt = table.changeCount();
+    this->tablesRevision = this->follower.revision();
+    std::map<std::string_view, std::vector<MemberRecord>> byService;
+    for (const auto& [address, member] : table.all()) {
+        if (member.record.role == MemberRole::Agent) {
+            byService[member.record.service].push_back(member.record);
+        }
+    }
+    const Configuration& configuration = this->follower.current();
+    this->steering->retain(configuration);
+    for (const ServiceRule& service : configuration.services) {
+        this->steering->update(now, service, configuration, byService[service.name]);
+    }
+}
+
+void Balancer::tick(TimePoint now, Actions& actions)
+{
+    this->members.tick(now, this->follower.revision(), actions);
+    this->refreshTables(now);
+}
+
+void Balancer::beginStop(TimePoint now, Actions& actions)
+{
+    this->members.leave(now, this->follower.revision(), actions);
+}
+
+Snapshot Balancer::makeSnapshot(const SnapshotAsk& ask) const
+{
+    Snapshot snapshot { .revision = this->follower.revision() };
+    if (snapshot.revision > ask.have) {
+        snapshot.rules = this->follower.current().text;
+    }
+    for (const auto& [address, member] : this->members.table().all()) {
+        if (ask.service == 0 || hashText(member.record.service) == ask.service) {
+            snapshot.members.push_back(member.record);
+        }
+    }
+    return snapshot;
+}
+
+bool Balancer::isWatcher() const
+{
+    const uint64_t own = hashPair(this->settings.address.packed(), hashText(this->settings.zone));
+    size_t better = 0;
+    for (Address peer : this->members.balancers(this->settings.zone)) {
+        better += hashPair(peer.packed(), hashText(this->settings.zone)) > own ? 1 : 0;
+    }
+    return better < watchersPerZone;
+}
+
+std::string Balancer::status(TimePoint now) const
+{
+    StatusView view { .role = "balancer", .address = this->settings.address, .zone = this->settings.zone, .revision = this->follower.revision(), .counters = &this->count };
+    view.revisionAge = now - this->follower.inForceSince();
+    view.numbers = {
+        { "balancers", this->members.balancers("").size() + 1 },
+        { "members", this->members.table().all().size() },
+        { "watcher", this->isWatcher() ? 1U : 0U },
+    };
+    return formatStatus(view);
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/balancer/balancer_base.h
@@ -0,0 +1,78 @@
+/** @file balancer_base.h One balancer: forwards packets, follows the configuration, keeps membership. */
+#pragma once
+
+#include "config/follower_base.h"
+#include "core/action_type.h"
+#include "core/counter_type.h"
+#include "core/random_base.h"
+#include "member/gossip_base.h"
+#include "steer/steering_base.h"
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace lavender {
+
+/** What a balancer is told at its start. */
+struct BalancerSettings {
+    Address address; ///< Where it listens.
+    std::string zone; ///< Its availability zone.
+    uint64_t incarnation = 1; ///< Higher than that of any earlier process at this address.
+};
+
+/** A balancer's decisions. No flow depends on anything that is kept here. */
+class Balancer {
+public:
+    Balancer(const BalancerSettings& settings, std::unique_ptr<Steering> steering, Random& random);
+
+    /** Handles one message from the network. */
+    void onMessage(TimePoint now, const Message& message, Actions& actions);
+
+    /** A set of rules that the store or a peer says is committed. */
+    absl::Status onConfiguration(TimePoint now, Revision revision, std::string_view rules);
+
+    /** A snapshot that was fetched. */
+    void onSnapshot(TimePoint now, const Snapshot& snapshot);
+
+    /** Balancers that the store's leases or the settings name. */
+    void onSeeds(TimePoint now, std::span<const Address> seeds, Actions& actions);
+
+    /** Runs every system once. */
+    void tick(TimePoint now, Actions& actions);
+
+    /** Leaves the fleet; packets that still come are forwarded all the same. */
+    void beginStop(TimePoint now, Actions& actions);
+
+    /** What a process that asks for a snapshot is given. */
+    Snapshot makeSnapshot(const SnapshotAsk& ask) const;
+
+    /** True where this balancer is one of those of its zone that watch the store. */
+    bool isWatcher() const;
+
+    /** State of the process as JSON. */
+    std::string status(TimePoint now) const;
+
+    const ConfigurationFollower& configuration() const { return this->follower; }
+    const GossipSystem& gossip() const { return this->members; }
+    const Counters& counters() const { return this->count; }
+
+private:
+    void handle(TimePoint now, const FlowPacket& packet, Actions& actions);
+    void handle(TimePoint now, const Announce& announce, Actions& actions);
+    void handle(TimePoint now, const Gossip& gossip, Actions& actions);
+    void noteRevision(TimePoint now, Address peer, Revision revision, Actions& actions);
+    void refreshTables(TimePoint now);
+
+    BalancerSettings settings;
+    std::unique_ptr<Steering> steering;
+    Counters count;
+    GossipSystem members;
+    ConfigurationFollower follower;
+    uint64_t tablesAt = 0; ///< Change count of the member table that the bucket tables stand for.
+    Revision tablesRevision = 0; ///< Revision that the bucket tables stand for.
+    TimePoint nextFetch {};
+};
+
+} // namespace lavender
--- /dev/null
+++ b/src/config/follower_base.h
@@ -0,0 +1,33 @@
+/** @file follower_base.h Holds the configuration in force; its revision only rises. */
+#pragma once
+
+#include "config/rule_type.h"
+#include "core/time_type.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <string_view>
+
+namespace lavender {
+
+/** Follows the revisions of the configuration. */
+class ConfigurationFollower {
+public:
+    /**
+     * Puts a committed set of rules in force.
+     * @return AlreadyExists where this revision or a later one is in force; InvalidArgument where the rules do not parse.
+     */
+    absl::Status offer(TimePoint now, Revision revision, std::string_view rules);
+
+    const Configuration& current() const { return *this->configuration; }
+    Revision revision() const { return this->configuration->revision; }
+    bool hasAny() const { return this->configuration->revision != 0; }
+    TimePoint inForceSince() const { return this->since; }
+
+private:
+    std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+    TimePoint since {};
+};
+
+} // namespace lavender
--- /dev/null
+++ b/src/core/text.cpp
@@ -0,0 +1,25 @@
+/** @file text.cpp Splitting and joining. */
+#include "core/text_func.h"
+
+namespace lavender {
+
+std::vector<std::string_view> splitText(std::string_view text, char separator)
+{
+    std::vector<std::string_view> parts;
+    size_t start = 0;
+    while (true) {
+        const size_t end = text.find(separator, start);
+        parts.push_back(text.substr(start, end == std::string_view::npos ? end : end - start));
+        if (end == std::string_view::npos) {
+            return parts;
+        }
+        start = end + 1;
+    }
+}
+
+std::string joinText(const std::vector<std::string_view>& parts, std::string_view separator)
+{
+    return fmt::format("{}", fmt::join(parts, separator));
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/daemon/agent_main.cpp
@@ -0,0 +1,203 @@
+/** @file agent_main.cpp lavender-agent: the agent's decisions with sockets, the upstream and a clock. */
+#include "agent/agent_base.h"
+#include "core/text_func.h"
+#include "daemon/log_func.h"
+#include "daemon/process_base.h"
+#include "daemon/program_func.h"
+#include "daemon/upstream_base.h"
+#include "settings/setting_func.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration seedPeriod = 30s;
+    constexpr Duration firstSeedPeriod = 1s; ///< While no configuration has come.
+
+    /** How packets get back to their callers. */
+    class ReturnPath {
+    public:
+        virtual ~ReturnPath() = default;
+        virtual Address nextHop(const FlowPacket& packet) const = 0;
+    };
+
+    /** Everything goes to one fabric. */
+    class FabricReturnPath final : public ReturnPath {
+    public:
+        explicit FabricReturnPath(Address fabric)
+            : fabric(fabric)
+        {
+        }
+        Address nextHop(const FlowPacket& /*packet*/) const override { return this->fabric; }
+
+    private:
+        Address fabric;
+    };
+
+    class AgentProcess final : public Process {
+    public:
+        explicit AgentProcess(const AgentProcessSettings& settings)
+            : Process(settings.listen)
+            , settings(settings)
+            , agent({ settings.listen, settings.zone, settings.service, Process::makeIncarnation(), settings.slots }, this->random)
+            , upstream(std::make_unique<HttpUpstream>(settings.upstreamUrl))
+            , returnPath(std::make_unique<FabricReturnPath>(settings.returnPath))
+        {
+            if (!settings.storeUrl.empty()) {
+                this->store = std::make_unique<HttpStore>(settings.storeUrl, settings.storeTimeout);
+            }
+        }
+
+        void startTimers()
+        {
+            this->seedTimer.startOnce(1ms, [this] { this->findSeeds(); });
+            this->healthTimer.start(this->settings.healthPeriod, [this] { this->readHealth(); });
+        }
+
+    protected:
+        void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->agent.onMessage(now, message, actions); }
+        void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) override { this->agent.onSnapshot(now, snapshot, actions); }
+        std::string status(TimePoint now) const override { return this->agent.status(now); }
+
+        void onTick(TimePoint now, Actions& actions) override
+        {
+            this->agent.tick(now, actions);
+            this->noteChanges();
+            if (this->agent.isDrained() && !this->isLeaving) {
+                this->isLeaving = true;
+                this->agent.leave(now, actions);
+                logInfo("drained", "passing late packets on");
+                this->lingerTimer.startOnce(this->settings.linger, [this] { this->finish(ExitCode::Done); });
+            }
+        }
+
+        void onStop(TimePoint /*now*/, Actions& /*actions*/) override
+        {
+            this->agent.beginStop();
+            this->drainTimer.startOnce(this->settings.drainTime, [this] {
+                if (!this->isLeaving) {
+                    logWarning("stop-cut", this->openWork());
+                    this->finish(ExitCode::Cut);
+                }
+            });
+        }
+
+        std::string openWork() const override
+        {
+            const size_t flows = this->agent.flowTable().size();
+            const size_t requests = this->agent.requestSystem().inFlight();
+            return flows + requests == 0 ? "" : concat(flows, " flows, ", requests, " requests");
+        }
+
+        Snapshot makeSnapshot(const SnapshotAsk& ask) const override
+        {
+            const ConfigurationFollower& follower = this->agent.configuration();
+            Snapshot snapshot { .revision = follower.revision() };
+            if (snapshot.revision > ask.have) {
+                snapshot.rules = follower.current().text;
+            }
+            return snapshot;
+        }
+
+        void perform(const Action& action) override
+        {
+            if (const auto* back = std::get_if<SendToCaller>(&action)) {
+                this->sendMessage(this->returnPath->nextHop(back->packet), back->packet);
+            } else if (const auto* handOver = std::get_if<HandOver>(&action)) {
+                this->upstream->handOver(*handOver, [this](const UpstreamResult& result) {
+                    Actions actions;
+                    this->agent.onUpstreamResult(Process::now(), result, actions);
+                    this->performAll(actions);
+                });
+            } else if (const auto* cancel = std::get_if<CancelHandOver>(&action)) {
+                this->upstream->cancel(cancel->id);
+            } else {
+                Process::perform(action);
+            }
+        }
+
+    private:
+        void findSeeds()
+        {
+            this->agent.onSeeds(this->settings.seeds);
+            const bool isSettled = this->agent.configuration().hasAny();
+            this->seedTimer.startOnce((isSettled ? seedPeriod : firstSeedPeriod) / 2 + this->random.jitter(isSettled ? seedPeriod : firstSeedPeriod), [this] { this->findSeeds(); });
+            if (this->store == nullptr) {
+                return;
+            }
+            this->store->list(balancersPrefix, [this](const absl::StatusOr<std::vector<StoreValue>>& values) {
+                std::vector<StoreValue> entries = values.ok() ? *values : std::vector<StoreValue>();
+                // Those of the own zone first; an agent remembers only some.
+                std::stable_partition(entries.begin(), entries.end(), [this](const StoreValue& value) { return value.value == this->settings.zone; });
+                std::vector<Address> seeds;
+                for (const StoreValue& value : entries) {
+                    const absl::StatusOr<Address> seed = parseAddress(std::string_view(value.key).substr(balancersPrefix.size()));
+                    if (seed.ok()) {
+                        seeds.push_back(*seed);
+                    }
+                }
+                this->agent.onSeeds(seeds);
+            });
+        }
+
+        void readHealth()
+        {
+            this->upstream->readHealth([this](const UpstreamHealth& health) {
+                if (health.isReachable != this->isReachable) {
+                    this->isReachable = health.isReachable;
+                    health.isReachable ? logInfo("upstream-reachable", this->settings.upstreamUrl) : logWarning("upstream-unreachable", this->settings.upstreamUrl);
+                }
+                this->agent.onUpstreamHealth(Process::now(), health);
+            });
+        }
+
+        void noteChanges()
+        {
+            const MemberState state = this->agent.self().state;
+            if (state != this->loggedState) {
+                this->loggedState = state;
+                logInfo("state", toString(state));
+            }
+            const Revision revision = this->agent.configuration().revision();
+            if (revision != this->loggedRevision) {
+                this->loggedRevision = revision;
+                logInfo("rules-in-force", concat("revision ", revision));
+            }
+        }
+
+        AgentProcessSettings settings;
+        Agent agent;
+        std::unique_ptr<Upstream> upstream;
+        std::unique_ptr<ReturnPath> returnPath;
+        std::unique_ptr<HttpStore> store;
+        LoopTimer seedTimer;
+        LoopTimer healthTimer;
+        LoopTimer drainTimer;
+        LoopTimer lingerTimer;
+        MemberState loggedState = MemberState::Cold;
+        Revision loggedRevision = 0;
+        bool isReachable = false;
+        bool isLeaving = false;
+    };
+
+} // namespace
+
+} // namespace lavender
+
+int main(int argc, char** argv)
+{
+    using namespace lavender; // NOLINT(google-build-using-namespace): the program's only function
+    const auto check = [](const std::string& text) { return std::string(parseAgentSettings(text).status().message()); };
+    const auto run = [](const std::string& text) {
+        const AgentProcessSettings settings = *parseAgentSettings(text);
+        setupLog(settings.logFormat, settings.logLevel);
+        AgentProcess process(settings);
+        process.startTimers();
+        return static_cast<int>(process.run());
+    };
+    return runProgram(argc, argv, agentSettingTable, check, run);
+}
--- /dev/null
+++ b/src/daemon/process.cpp
@@ -0,0 +1,177 @@
+/** @file process.cpp One loop on one thread. */
+#include "daemon/process_base.h"
+
+#include "core/text_func.h"
+#include "daemon/log_func.h"
+
+#include <glib-unix.h>
+
+#include <csignal>
+#include <utility>
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration tickPeriod = 50ms;
+
+} // namespace
+
+void LoopTimer::start(Duration period, std::function<void()> callback)
+{
+    this->stop();
+    this->function = std::move(callback);
+    this->isOnce = false;
+    this->source = g_timeout_add(static_cast<guint>(toMilliseconds(period)), &LoopTimer::onTimer, this);
+}
+
+void LoopTimer::startOnce(Duration delay, std::function<void()> callback)
+{
+    this->start(delay, std::move(callback));
+    this->isOnce = true;
+}
+
+void LoopTimer::stop()
+{
+    if (this->source != 0) {
+        g_source_remove(this->source);
+        this->source = 0;
+    }
+}
+
+gboolean LoopTimer::onTimer(gpointer self)
+{
+    auto* timer = static_cast<LoopTimer*>(self);
+    if (!timer->isOnce) {
+        timer->function();
+        return G_SOURCE_CONTINUE;
+    }
+    timer->source = 0;
+    // The function may start this timer again.
+    const std::function<void()> callback = std::exchange(timer->function, nullptr);
+    callback();
+    return G_SOURCE_REMOVE;
+}
+
+Process::Process(Address listen)
+    : random(static_cast<uint64_t>(g_random_int()) << 32U | g_random_int())
+    , listen(listen)
+    , loop(g_main_loop_new(nullptr, FALSE))
+{
+}
+
+Process::~Process()
+{
+    g_main_loop_unref(this->loop);
+}
+
+TimePoint Process::now()
+{
+    return TimePoint(g_get_monotonic_time());
+}
+
+uint64_t Process::makeIncarnation()
+{
+    return static_cast<uint64_t>(g_get_real_time()) / 1000;
+}
+
+ExitCode Process::run()
+{
+    auto socket = UdpSocket::open(this->listen, [this](Address from, std::span<const uint8_t> bytes) { this->onDatagram(from, bytes); });
+    if (!socket.ok()) {
+        logError("listen-failed", socket.status().ToString());
+        return ExitCode::Unavailable;
+    }
+    this->udp = std::move(*socket);
+    auto server = SnapshotServer::open(this->listen, [this](const SnapshotAsk& ask) { return this->makeSnapshot(ask); });
+    if (!server.ok()) {
+        logError("listen-failed", server.status().ToString());
+        return ExitCode::Unavailable;
+    }
+    this->snapshots = std::move(*server);
+    this->ticker.start(tickPeriod, [this] {
+        Actions actions;
+        this->onTick(Process::now(), actions);
+        this->performAll(actions);
+    });
+    g_unix_signal_add(SIGTERM, &Process::onSignal, this);
+    g_unix_signal_add(SIGINT, &Process::onSignal, this);
+    logInfo("started", formatAddress(this->listen));
+    g_main_loop_run(this->loop);
+    this->ticker.stop();
+    logInfo("ended", concat("exit code ", static_cast<int>(this->code)));
+    return this->code;
+}
+
+void Process::finish(ExitCode exitCode)
+{
+    this->code = exitCode;
+    g_main_loop_quit(this->loop);
+}
+
+gboolean Process::onSignal(gpointer self)
+{
+    auto* process = static_cast<Process*>(self);
+    if (process->isStopping) {
+        const std::string work = process->openWork();
+        logWarning("stop-cut", work.empty() ? "nothing was open" : work);
+        process->finish(work.empty() ? ExitCode::Done : ExitCode::Cut);
+        return G_SOURCE_CONTINUE;
+    }
+    process->isStopping = true;
+    logInfo("stop-begun", "");
+    Actions actions;
+    process->onStop(Process::now(), actions);
+    process->performAll(actions);
+    return G_SOURCE_CONTINUE;
+}
+
+void Process::sendMessage(Address to, const Message& message)
+{
+    this->udp->send(to, this->encapsulation.encode(message));
+}
+
+void Process::performAll(const Actions& actions)
+{
+    for (const Action& action : actions) {
+        this->perform(action);
+    }
+}
+
+void Process::perform(const Action& action)
+{
+    if (const auto* send = std::get_if<SendMessage>(&action)) {
+        this->sendMessage(send->to, send->message);
+    } else if (const auto* fetch = std::get_if<FetchSnapshot>(&action)) {
+        fetchSnapshot(fetch->from, fetch->ask, [this](absl::StatusOr<Snapshot> snapshot) {
+            if (snapshot.ok()) {
+                Actions actions;
+                this->onSnapshot(Process::now(), *snapshot, actions);
+                this->performAll(actions);
+            }
+        });
+    }
+}
+
+void Process::onDatagram(Address from, std::span<const uint8_t> bytes)
+{
+    if (bytes.size() > maximumDatagramBytes) {
+        ++this->oversized;
+        return;
+    }
+    const absl::StatusOr<Message> message = this->encapsulation.decode(bytes);
+    if (!message.ok()) {
+        ++this->malformed;
+        return;
+    }
+    const TimePoint moment = Process::now();
+    if (const auto* ask = std::get_if<StatusAsk>(&*message)) {
+        this->sendMessage(from, StatusReply { ask->nonce, this->status(moment) });
+        return;
+    }
+    Actions actions;
+    this->onMessage(moment, *message, actions);
+    this->performAll(actions);
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/daemon/process_base.h
@@ -0,0 +1,105 @@
+/** @file process_base.h What both daemons share: the loop, the sockets, the clock, signals and status. */
+#pragma once
+
+#include "core/action_type.h"
+#include "core/counter_type.h"
+#include "core/random_base.h"
+#include "daemon/snapshot_channel.h"
+#include "daemon/udp_socket.h"
+#include "store/http_store.h"
+#include "wire/codec_func.h"
+
+#include <absl/status/status.h>
+#include <gio/gio.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lavender {
+
+/** Exit codes of the daemons. */
+enum class ExitCode : int {
+    Done = 0, ///< Stopped as asked; nothing was cut.
+    Usage = 2, ///< Command line or settings are wrong.
+    Unavailable = 3, ///< An address could not be bound.
+    Cut = 4, ///< Stopped with work left: a second signal, or the drain time ran out.
+};
+
+/** Runs a function on the main loop again and again while it lives. */
+class LoopTimer {
+public:
+    LoopTimer() = default;
+    ~LoopTimer() { this->stop(); }
+    LoopTimer(const LoopTimer&) = delete;
+    LoopTimer& operator=(const LoopTimer&) = delete;
+
+    void start(Duration period, std::function<void()> function);
+    void startOnce(Duration delay, std::function<void()> function);
+    void stop();
+
+private:
+    static gboolean onTimer(gpointer self);
+
+    guint source = 0;
+    bool isOnce = false;
+    std::function<void()> function;
+};
+
+/** The part of a daemon that talks to the outside; the decisions are its subclass's. */
+class Process {
+public:
+    explicit Process(Address listen);
+    virtual ~Process();
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    /** Binds the sockets and runs until the process is to end. */
+    ExitCode run();
+
+protected:
+    virtual void onMessage(TimePoint now, const Message& message, Actions& actions) = 0;
+    virtual void onTick(TimePoint now, Actions& actions) = 0;
+    virtual void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) = 0;
+    /** First signal to stop. */
+    virtual void onStop(TimePoint now, Actions& actions) = 0;
+    /** What the second signal cuts; empty where nothing is. */
+    virtual std::string openWork() const = 0;
+    virtual std::string status(TimePoint now) const = 0;
+    virtual Snapshot makeSnapshot(const SnapshotAsk& ask) const = 0;
+    virtual void perform(const Action& action);
+
+    /** Carries out what the library decided. */
+    void performAll(const Actions& actions);
+    /** Ends the main loop. */
+    void finish(ExitCode code);
+    void sendMessage(Address to, const Message& message);
+
+    static TimePoint now();
+    /** Milliseconds since 1970: rises from one start of a process to its next. */
+    static uint64_t makeIncarnation();
+
+    CerealEncapsulation encapsulation;
+    SeededRandom random;
+    bool isStopping = false;
+
+private:
+    static gboolean onSignal(gpointer self);
+    void onDatagram(Address from, std::span<const uint8_t> bytes);
+
+    Address listen;
+    GMainLoop* loop;
+    std::unique_ptr<UdpSocket> udp;
+    std::unique_ptr<SnapshotServer> snapshots;
+    LoopTimer ticker;
+    uint64_t oversized = 0;
+    uint64_t malformed = 0;
+    ExitCode code = ExitCode::Done;
+
+protected:
+    /** Datagrams that did not decode, for status. */
+    uint64_t droppedDatagrams() const { return this->oversized + this->malformed; }
+};
+
+} // namespace lavender
--- /dev/null
+++ b/src/daemon/program_func.h
@@ -0,0 +1,25 @@
+/** @file program_func.h The command line that both daemons have. */
+#pragma once
+
+#include "settings/setting_type.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lavender {
+
+constexpr std::string_view programVersion = "0.1.0";
+
+/** Reads a whole file, or standard input for "-". @return False where it cannot be read. */
+bool readFile(const std::string& path, std::string& text);
+
+/**
+ * Handles --help, --version, --config and --check-config.
+ * @param check Parses the settings; returns the faults, or nothing where there are none.
+ * @param run Runs the daemon with the text of its settings.
+ * @return Exit code of the process.
+ */
+int runProgram(int argc, char** argv, const SettingTable& table, const std::function<std::string(const std::string&)>& check, const std::function<int(const std::string&)>& run);
+
+} // namespace lavender
--- /dev/null
+++ b/src/daemon/udp_socket.cpp
@@ -0,0 +1,111 @@
+/** @file udp_socket.cpp Non-blocking datagrams; a burst is read in one turn of the loop. */
+#include "daemon/udp_socket.h"
+
+#include "core/text_func.h"
+#include "wire/message_type.h"
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace lavender {
+
+namespace {
+
+    constexpr int datagramsPerTurn = 256; ///< So that timers are not starved.
+    constexpr int socketBufferBytes = 4 << 20;
+
+} // namespace
+
+GSocketAddress* makeSocketAddress(Address address)
+{
+    const std::string text = formatAddress(address);
+    return g_inet_socket_address_new_from_string(text.substr(0, text.find(':')).c_str(), address.port);
+}
+
+Address fromSocketAddress(GSocketAddress* address)
+{
+    if (!G_IS_INET_SOCKET_ADDRESS(address)) {
+        return {};
+    }
+    auto* inet = G_INET_SOCKET_ADDRESS(address);
+    GInetAddress* host = g_inet_socket_address_get_address(inet);
+    if (g_inet_address_get_family(host) != G_SOCKET_FAMILY_IPV4) {
+        return {};
+    }
+    const guint8* bytes = g_inet_address_to_bytes(host);
+    Address result;
+    for (int index = 0; index < 4; ++index) {
+        result.host = result.host << 8 | bytes[index];
+    }
+    result.port = g_inet_socket_address_get_port(inet);
+    return result;
+}
+
+absl::StatusOr<std::unique_ptr<UdpSocket>> UdpSocket::open(Address address, Receiver receiver)
+{
+    const auto fault = [address](GError* error) {
+        absl::Status status = absl::UnavailableError(concat("UDP ", formatAddress(address), ": ", error->message));
+        g_error_free(error);
+        return status;
+    };
+    GError* error = nullptr;
+    std::unique_ptr<UdpSocket> result(new UdpSocket());
+    result->receiver = std::move(receiver);
+    result->socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &error);
+    if (result->socket == nullptr) {
+        return fault(error);
+    }
+    g_socket_set_blocking(result->socket, FALSE);
+    g_socket_set_option(result->socket, SOL_SOCKET, SO_RCVBUF, socketBufferBytes, nullptr);
+    GSocketAddress* local = makeSocketAddress(address);
+    const bool isBound = g_socket_bind(result->socket, local, FALSE, &error) != FALSE;
+    g_object_unref(local);
+    if (!isBound) {
+        return fault(error);
+    }
+    GSocketAddress* bound = g_socket_get_local_address(result->socket, nullptr);
+    result->bound = fromSocketAddress(bound);
+    g_object_unref(bound);
+    result->source = g_socket_create_source(result->socket, G_IO_IN, nullptr);
+    g_source_set_callback(result->source, reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(&UdpSocket::onReadable)), result.get(), nullptr);
+    g_source_attach(result->source, nullptr);
+    return result;
+}
+
+UdpSocket::~UdpSocket()
+{
+    if (this->source != nullptr) {
+        g_source_destroy(this->source);
+        g_source_unref(this->source);
+    }
+    if (this->socket != nullptr) {
+        g_object_unref(this->socket);
+    }
+}
+
+gboolean UdpSocket::onReadable(GSocket* socket, GIOCondition /*condition*/, gpointer self)
+{
+    auto* udp = static_cast<UdpSocket*>(self);
+    std::array<uint8_t, maximumDatagramBytes + 1> buffer {}; // One more than allowed, to see what is oversized.
+    for (int turn = 0; turn < datagramsPerTurn; ++turn) {
+        GSocketAddress* from = nullptr;
+        const gssize size = g_socket_receive_from(socket, &from, reinterpret_cast<gchar*>(buffer.data()), buffer.size(), nullptr, nullptr);
+        if (size < 0) {
+            break;
+        }
+        const Address sender = fromSocketAddress(from);
+        g_object_unref(from);
+        udp->receiver(sender, std::span(buffer.data(), static_cast<size_t>(size)));
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void UdpSocket::send(Address to, std::span<const uint8_t> bytes)
+{
+    GSocketAddress* address = makeSocketAddress(to);
+    g_socket_send_to(this->socket, address, reinterpret_cast<const gchar*>(bytes.data()), bytes.size(), nullptr, nullptr);
+    g_object_unref(address);
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/member/member_table.cpp
@@ -0,0 +1,95 @@
+/** @file member_table.cpp Merging by version; digests by exclusive or, so that each change costs two hashes. */
+#include "member/member_table.h"
+
+#include "core/hash_func.h"
+
+#include <numeric>
+
+namespace lavender {
+
+namespace {
+
+    uint64_t hashRecord(const MemberRecord& record)
+    {
+        const uint64_t identity = hashPair(record.address.packed(), record.incarnation);
+        const uint64_t content = hashPair(uint64_t { record.version } << 16 | static_cast<uint64_t>(record.liveness), uint64_t { record.weight } << 8 | static_cast<uint64_t>(record.state));
+        return hashPair(identity, content);
+    }
+
+} // namespace
+
+size_t MemberTable::bucketOf(Address address)
+{
+    return hashPair(address.packed(), 0) % digestBuckets;
+}
+
+void MemberTable::toggle(const MemberRecord& record)
+{
+    // A member that is gone does not count: nodes forget it at different times and would differ for ever.
+    if (record.liveness != Liveness::Gone) {
+        this->digests[bucketOf(record.address)] ^= hashRecord(record);
+    }
+}
+
+bool MemberTable::merge(TimePoint now, const MemberRecord& record)
+{
+    const auto [entry, isNew] = this->members.try_emplace(record.address);
+    Member& member = entry->second;
+    if (!isNew) {
+        if (!isNewer(record, member.record)) {
+            return false;
+        }
+        this->toggle(member.record);
+    }
+    member.record = record;
+    member.changed = now;
+    this->toggle(record);
+    ++this->changes;
+    return true;
+}
+
+bool MemberTable::markLiveness(TimePoint now, Address address, Liveness liveness)
+{
+    const Member* member = this->find(address);
+    if (member == nullptr || member->record.liveness >= liveness) {
+        return false;
+    }
+    MemberRecord record = member->record;
+    record.liveness = liveness;
+    return this->merge(now, record);
+}
+
+void MemberTable::purge(TimePoint now, Duration age)
+{
+    std::erase_if(this->members, [now, age](const auto& entry) {
+        return entry.second.record.liveness == Liveness::Gone && now - entry.second.changed > age;
+    });
+}
+
+const Member* MemberTable::find(Address address) const
+{
+    const auto found = this->members.find(address);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
+uint64_t MemberTable::digest() const
+{
+    return std::accumulate(this->digests.begin(), this->digests.end(), uint64_t { 0 }, [](uint64_t left, uint64_t right) { return hashPair(left, right); });
+}
+
+uint64_t digestRecords(std::span<const MemberRecord> records)
+{
+    uint64_t digest = 0;
+    for (const MemberRecord& record : records) {
+        digest ^= hashRecord(record);
+    }
+    return digest;
+}
+
+size_t encodedBytes(const MemberRecord& record)
+{
+    constexpr size_t fixedBytes = 36; // The numbers and the lengths of both names.
+    return fixedBytes + record.zone.size() + record.service.size();
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/settings/setting.cpp
@@ -0,0 +1,242 @@
+/** @file setting.cpp Flattens a JSON file and checks each value against its description. */
+#include "settings/setting_func.h"
+
+#include "wire/message_type.h"
+#include "core/text_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace lavender {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    size_t editDistance(std::string_view left, std::string_view right)
+    {
+        std::vector<size_t> row(right.size() + 1);
+        std::iota(row.begin(), row.end(), size_t { 0 });
+        for (size_t i = 1; i <= left.size(); ++i) {
+            size_t diagonal = row[0];
+            row[0] = i;
+            for (size_t j = 1; j <= right.size(); ++j) {
+                const size_t above = row[j];
+                row[j] = std::min({ above + 1, row[j - 1] + 1, diagonal + (left[i - 1] == right[j - 1] ? 0U : 1U) });
+                diagonal = above;
+            }
+        }
+        return row.back();
+    }
+
+    std::string_view nearestPath(const SettingTable& table, std::string_view path)
+    {
+        const auto nearest = std::min_element(table.settings.begin(), table.settings.end(), [path](const auto& left, const auto& right) {
+            return editDistance(left.path, path) < editDistance(right.path, path);
+        });
+        return nearest->path;
+    }
+
+    bool isNameText(std::string_view text)
+    {
+        return !text.empty() && text.size() <= maximumNameBytes && std::all_of(text.begin(), text.end(), [](char character) {
+            return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
+        });
+    }
+
+    /** What was expected, or empty where the value fits. */
+    std::string expectation(const SettingDescription& setting, const Json& value)
+    {
+        const auto isText = value.is_string();
+        const std::string text = isText ? value.get<std::string>() : "";
+        switch (setting.kind) {
+        case SettingKind::Name:
+            return isText && isNameText(text) ? "" : concat("a name of a-z, 0-9 and -, at most ", maximumNameBytes, " characters");
+        case SettingKind::AddressText:
+            return isText && parseAddress(text).ok() ? "" : "\"A.B.C.D:PORT\"";
+        case SettingKind::AddressList: {
+            const bool isFit = value.is_array() && std::all_of(value.begin(), value.end(), [](const Json& entry) { return entry.is_string() && parseAddress(entry.get<std::string>()).ok(); });
+            return isFit ? "" : "a list of \"A.B.C.D:PORT\"";
+        }
+        case SettingKind::Url: {
+            std::string_view rest = text;
+            const bool isHttp = rest.substr(0, 7) == "http://";
+            rest.remove_prefix(isHttp ? 7 : 0);
+            return isText && isHttp && parseAddress(rest).ok() ? "" : "\"http://A.B.C.D:PORT\"";
+        }
+        case SettingKind::Number: {
+            const bool isFit = value.is_number_integer() && value.get<int64_t>() >= setting.low && value.get<int64_t>() <= setting.high;
+            return isFit ? "" : concat(setting.low, "..", setting.high);
+        }
+        case SettingKind::Choice: {
+            const std::vector<std::string_view> words = splitText(setting.choices, '|');
+            return isText && std::find(words.begin(), words.end(), text) != words.end() ? "" : concat("one of ", joinText(words, ", "));
+        }
+        }
+        return "";
+    }
+
+    /** Visits every leaf: a value that is no object. */
+    template <typename Visitor> void visitLeaves(const Json& json, const std::string& path, const Visitor& visit)
+    {
+        if (!json.is_object()) {
+            visit(path, json);
+            return;
+        }
+        for (const auto& [key, value] : json.items()) {
+            visitLeaves(value, concat(path, "/", key), visit);
+        }
+    }
+
+    std::string shorten(const Json& value)
+    {
+        constexpr size_t longest = 60;
+        const std::string text = value.dump();
+        return text.size() <= longest ? text : concat(text.substr(0, longest), "...");
+    }
+
+    std::string kindText(const SettingDescription& setting)
+    {
+        switch (setting.kind) {
+        case SettingKind::Name:
+            return "name";
+        case SettingKind::AddressText:
+            return "address";
+        case SettingKind::AddressList:
+            return "list of addresses";
+        case SettingKind::Url:
+            return "URL";
+        case SettingKind::Number:
+            return concat(setting.low, "..", setting.high);
+        case SettingKind::Choice:
+            return joinText(splitText(setting.choices, '|'), ", ");
+        }
+        return "";
+    }
+
+} // namespace
+
+std::string SettingValues::text(std::string_view path) const
+{
+    const auto found = this->values.find(path);
+    return found == this->values.end() ? "" : found->second;
+}
+
+int64_t SettingValues::number(std::string_view path) const
+{
+    int64_t number = 0;
+    return parseNumber(this->text(path), number) ? number : 0;
+}
+
+Address SettingValues::address(std::string_view path) const
+{
+    return parseAddress(this->text(path)).value_or(Address {});
+}
+
+std::vector<Address> SettingValues::addresses(std::string_view path) const
+{
+    std::vector<Address> result;
+    for (const Json& entry : Json::parse(this->text(path))) {
+        result.push_back(parseAddress(entry.get<std::string>()).value_or(Address {}));
+    }
+    return result;
+}
+
+absl::StatusOr<SettingValues> parseSettings(const SettingTable& table, std::string_view text)
+{
+    Json json;
+    try {
+        json = Json::parse(text);
+    } catch (const Json::parse_error& error) {
+        return absl::InvalidArgumentError(concat("byte ", error.byte, ": not JSON: ", error.what()));
+    }
+    if (!json.is_object()) {
+        return absl::InvalidArgumentError("/: expected an object");
+    }
+    SettingValues result;
+    std::vector<std::string> faults;
+    visitLeaves(json, "", [&](const std::string& path, const Json& value) {
+        const auto setting = std::find_if(table.settings.begin(), table.settings.end(), [&path](const auto& entry) { return entry.path == path; });
+        if (setting == table.settings.end()) {
+            faults.push_back(concat(path, ": unknown setting: did you mean ", nearestPath(table, path), "?"));
+            return;
+        }
+        const std::string expected = expectation(*setting, value);
+        if (!expected.empty()) {
+            faults.push_back(concat(path, ": ", shorten(value), ": expected ", expected));
+        }
+        result.values[path] = value.is_string() ? value.get<std::string>() : value.dump();
+    });
+    for (const SettingDescription& setting : table.settings) {
+        if (result.values.contains(setting.path)) {
+            continue;
+        }
+        if (setting.isRequired) {
+            faults.push_back(concat(setting.path, ": missing: expected ", kindText(setting)));
+        }
+        result.values[std::string(setting.path)] = std::string(setting.fallback);
+    }
+    if (!faults.empty()) {
+        return absl::InvalidArgumentError(fmt::format("{}", fmt::join(faults, "\n")));
+    }
+    return result;
+}
+
+std::string formatSettingTable(const SettingTable& table)
+{
+    std::string result = concat("## ", table.program, "\n\n| setting | value | default | meaning |\n| --- | --- | --- | --- |\n");
+    for (const SettingDescription& setting : table.settings) {
+        const std::string_view fallback = setting.isRequired ? "required" : (setting.fallback.empty() ? "none" : setting.fallback);
+        appendText(result, "| `", setting.path, "` | ", kindText(setting), " | ", fallback, " | ", setting.help, " |\n");
+    }
+    return result;
+}
+
+absl::StatusOr<BalancerProcessSettings> parseBalancerSettings(std::string_view json)
+{
+    const absl::StatusOr<SettingValues> values = parseSettings(balancerSettingTable, json);
+    if (!values.ok()) {
+        return values.status();
+    }
+    return BalancerProcessSettings {
+        .listen = values->address("/listen"),
+        .zone = values->text("/zone"),
+        .storeUrl = values->text("/store/url"),
+        .storeTimeout = values->milliseconds("/store/timeout_ms"),
+        .leaseTime = values->seconds("/store/lease_s"),
+        .readPeriod = values->seconds("/store/read_s"),
+        .seeds = values->addresses("/seeds"),
+        .steering = values->text("/steering"),
+        .linger = values->milliseconds("/stop/linger_ms"),
+        .logFormat = values->text("/log/format"),
+        .logLevel = values->text("/log/level"),
+    };
+}
+
+absl::StatusOr<AgentProcessSettings> parseAgentSettings(std::string_view json)
+{
+    const absl::StatusOr<SettingValues> values = parseSettings(agentSettingTable, json);
+    if (!values.ok()) {
+        return values.status();
+    }
+    return AgentProcessSettings {
+        .listen = values->address("/listen"),
+        .zone = values->text("/zone"),
+        .service = values->text("/service"),
+        .upstreamUrl = values->text("/upstream/url"),
+        .slots = static_cast<uint16_t>(values->number("/upstream/slots")),
+        .healthPeriod = values->milliseconds("/upstream/health_ms"),
+        .returnPath = values->address("/return"),
+        .storeUrl = values->text("/store/url"),
+        .storeTimeout = values->milliseconds("/store/timeout_ms"),
+        .seeds = values->addresses("/seeds"),
+        .drainTime = values->seconds("/stop/drain_s"),
+        .linger = values->milliseconds("/stop/linger_ms"),
+        .logFormat = values->text("/log/format"),
+        .logLevel = values->text("/log/level"),
+    };
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/steer/steering.cpp
@@ -0,0 +1,132 @@
+/** @file steering.cpp Candidate lists from bucket tables. */
+#include "steer/steering_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace lavender {
+
+namespace {
+
+    /** Other balancers and agents may hold the view before a change for this long. */
+    constexpr Duration settleTime = 10s;
+
+    void addCandidate(ForwardedPacket& forwarded, Address candidate)
+    {
+        auto& list = forwarded.candidates;
+        if (std::find(list.begin(), list.end(), candidate) == list.end()) {
+            list.push_back(candidate);
+        }
+    }
+
+    /**
+     * The agent that other views may still take for the home. An opening packet passes it first, so that copies of it
+     * that were sent by different views meet at one agent and get one owner.
+     */
+    uint16_t previousHome(const BucketChoice& choice)
+    {
+        return choice.ranked[0] != choice.home ? choice.ranked[0] : choice.second;
+    }
+
+    bool sameMembers(std::span<const BucketMember> left, std::span<const BucketMember> right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const BucketMember& one, const BucketMember& other) {
+            return one.address == other.address && one.weight == other.weight && one.isEligible == other.isEligible;
+        });
+    }
+
+} // namespace
+
+void RendezvousSteering::update(TimePoint now, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records)
+{
+    std::vector<BucketMember> members = bucketMembers(records, service, configuration);
+    const auto [found, isNew] = this->services.try_emplace(service.nameHash);
+    Entry& entry = found->second;
+    if (!isNew && sameMembers(entry.members, members)) {
+        return;
+    }
+    entry.members = members;
+    entry.table = BucketTable(std::move(members));
+    entry.changed = now;
+}
+
+void RendezvousSteering::retain(const Configuration& configuration)
+{
+    std::erase_if(this->services, [&configuration](const auto& entry) { return !configuration.serviceByHash.contains(entry.first); });
+}
+
+bool RendezvousSteering::route(TimePoint now, const ServiceRule& service, ForwardedPacket& forwarded) const
+{
+    const auto found = this->services.find(service.nameHash);
+    if (found == this->services.end() || found->second.table.isEmpty()) {
+        return false;
+    }
+    const Entry& entry = found->second;
+    const auto members = entry.table.members();
+    const BucketChoice& choice = entry.table.choose(hashFlow(forwarded.packet.flow));
+    forwarded.service = service.nameHash;
+    forwarded.candidates.clear();
+    if (choice.home == BucketChoice::none && forwarded.packet.mark == PacketMark::Opening) {
+        return false;
+    }
+    if (choice.home != BucketChoice::none) {
+        forwarded.home = members[choice.home].address;
+        const uint16_t previous = previousHome(choice);
+        const bool isSettling = now - entry.changed < settleTime;
+        if (forwarded.packet.mark == PacketMark::Opening && isSettling && previous != BucketChoice::none) {
+            addCandidate(forwarded, members[previous].address);
+        }
+        addCandidate(forwarded, forwarded.home);
+        if (choice.second != BucketChoice::none) {
+            addCandidate(forwarded, members[choice.second].address);
+        }
+    }
+    for (uint16_t index : choice.ranked) {
+        if (index != BucketChoice::none) {
+            addCandidate(forwarded, members[index].address);
+        }
+    }
+    return true;
+}
+
+void ModuloSteering::update(TimePoint /*now*/, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records)
+{
+    std::vector<Address>& agents = this->services[service.nameHash];
+    agents.clear();
+    for (const BucketMember& member : bucketMembers(records, service, configuration)) {
+        if (member.isEligible && member.weight > 0) {
+            agents.push_back(member.address);
+        }
+    }
+}
+
+void ModuloSteering::retain(const Configuration& configuration)
+{
+    std::erase_if(this->services, [&configuration](const auto& entry) { return !configuration.serviceByHash.contains(entry.first); });
+}
+
+bool ModuloSteering::route(TimePoint /*now*/, const ServiceRule& service, ForwardedPacket& forwarded) const
+{
+    const auto found = this->services.find(service.nameHash);
+    if (found == this->services.end() || found->second.empty()) {
+        return false;
+    }
+    forwarded.service = service.nameHash;
+    forwarded.candidates = { found->second[hashFlow(forwarded.packet.flow) % found->second.size()] };
+    forwarded.home = forwarded.candidates.front();
+    return true;
+}
+
+std::unique_ptr<Steering> makeSteering(std::string_view name)
+{
+    if (name == "product") {
+        return std::make_unique<RendezvousSteering>();
+    }
+    if (name == "naive") {
+        return std::make_unique<ModuloSteering>();
+    }
+    return nullptr;
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/store/http_store.cpp
@@ -0,0 +1,342 @@
+/** @file http_store.cpp Calls are POSTs of one JSON object; a watch is a POST whose answer never ends, one object a line. */
+#include "store/http_store.h"
+
+#include "core/text_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lavender {
+
+namespace {
+
+    using Json = nlohmann::json;
+    using JsonDone = std::function<void(absl::StatusOr<Json>)>;
+
+    constexpr guint watchTimeoutSeconds = 300; ///< A watch without a line for so long is opened anew.
+
+    std::string toBase64(std::string_view text)
+    {
+        gchar* encoded = g_base64_encode(reinterpret_cast<const guchar*>(text.data()), text.size());
+        std::string result(encoded);
+        g_free(encoded);
+        return result;
+    }
+
+    std::string fromBase64(const std::string& text)
+    {
+        gsize size = 0;
+        guchar* decoded = g_base64_decode(text.c_str(), &size);
+        std::string result(reinterpret_cast<const char*>(decoded), size);
+        g_free(decoded);
+        return result;
+    }
+
+    /** The gateway writes 64-bit numbers as text and leaves out zeros. */
+    uint64_t numberAt(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        uint64_t number = 0;
+        if (found == json.end()) {
+            return 0;
+        }
+        if (found->is_string()) {
+            return parseNumber(found->get_ref<const std::string&>(), number) ? number : 0;
+        }
+        return found->is_number_unsigned() ? found->get<uint64_t>() : 0;
+    }
+
+    StoreValue valueOf(const Json& entry)
+    {
+        return { fromBase64(entry.value("key", "")), fromBase64(entry.value("value", "")), numberAt(entry, "mod_revision") };
+    }
+
+    /** First key behind all that begin with @p prefix. */
+    std::string rangeEnd(std::string prefix)
+    {
+        ++prefix.back();
+        return prefix;
+    }
+
+    SoupMessage* makeMessage(const std::string& url, const Json& body)
+    {
+        SoupMessage* message = soup_message_new("POST", url.c_str());
+        const std::string text = body.dump();
+        GBytes* bytes = g_bytes_new(text.data(), text.size());
+        soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+        g_bytes_unref(bytes);
+        return message;
+    }
+
+    absl::Status statusOf(SoupMessage* message, GError* error)
+    {
+        if (error != nullptr) {
+            absl::Status status = absl::UnavailableError(concat("store: ", error->message));
+            g_error_free(error);
+            return status;
+        }
+        const int code = static_cast<int>(soup_message_get_status(message));
+        if (code == SOUP_STATUS_NOT_FOUND) {
+            return absl::NotFoundError("store: not found");
+        }
+        return code == SOUP_STATUS_OK ? absl::OkStatus() : absl::UnavailableError(concat("store: HTTP ", code));
+    }
+
+    struct Call {
+        SoupMessage* message;
+        JsonDone done;
+
+        static void onAnswer(GObject* source, GAsyncResult* result, gpointer data)
+        {
+            const std::unique_ptr<Call> call(static_cast<Call*>(data));
+            GError* error = nullptr;
+            GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+            const absl::Status status = statusOf(call->message, error);
+            absl::StatusOr<Json> answer = status.ok() ? absl::InternalError("store: no answer") : status;
+            if (status.ok()) {
+                gsize size = 0;
+                const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+                Json json = Json::parse(text, text + size, nullptr, false);
+                answer = json.is_object() ? absl::StatusOr<Json>(std::move(json)) : absl::InternalError("store: answer is no JSON object");
+            }
+            if (bytes != nullptr) {
+                g_bytes_unref(bytes);
+            }
+            g_object_unref(call->message);
+            try {
+                call->done(std::move(answer));
+            } catch (const Json::exception& fault) {
+                call->done(absl::InternalError(concat("store: ", fault.what())));
+            }
+        }
+    };
+
+    void post(SoupSession* session, const std::string& url, const Json& body, JsonDone done)
+    {
+        SoupMessage* message = makeMessage(url, body);
+        soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT, nullptr, &Call::onAnswer, new Call { message, std::move(done) });
+    }
+
+    /** One open watch; deletes itself when it ends. */
+    struct Watch {
+        SoupMessage* message;
+        std::function<void(StoreValue)> changed;
+        std::function<void(absl::Status)> ended;
+        GDataInputStream* lines = nullptr;
+
+        void end(const absl::Status& status)
+        {
+            const std::unique_ptr<Watch> self(this);
+            if (self->lines != nullptr) {
+                g_object_unref(self->lines);
+            }
+            g_object_unref(self->message);
+            self->ended(status);
+        }
+
+        void readLine()
+        {
+            g_data_input_stream_read_line_async(this->lines, G_PRIORITY_DEFAULT, nullptr, &Watch::onLine, this);
+        }
+
+        void takeLine(const char* text)
+        {
+            const Json json = Json::parse(text, nullptr, false);
+            if (!json.is_object() || !json.contains("result")) {
+                return;
+            }
+            const Json& result = json["result"];
+            if (!result.contains("events")) {
+                return;
+            }
+            for (const Json& event : result["events"]) {
+                if (event.contains("kv")) {
+                    this->changed(valueOf(event["kv"]));
+                }
+            }
+        }
+
+        static void onLine(GObject* source, GAsyncResult* result, gpointer data)
+        {
+            auto* watch = static_cast<Watch*>(data);
+            GError* error = nullptr;
+            gchar* line = g_data_input_stream_read_line_finish(G_DATA_INPUT_STREAM(source), result, nullptr, &error);
+            if (line == nullptr) {
+                watch->end(error == nullptr ? absl::UnavailableError("store: watch closed") : statusOf(watch->message, error));
+                return;
+            }
+            try {
+                watch->takeLine(line);
+            } catch (const Json::exception&) {
+                // A line of another form is passed over; the next read of the key sees its value all the same.
+            }
+            g_free(line);
+            watch->readLine();
+        }
+
+        static void onOpen(GObject* source, GAsyncResult* result, gpointer data)
+        {
+            auto* watch = static_cast<Watch*>(data);
+            GError* error = nullptr;
+            GInputStream* stream = soup_session_send_finish(SOUP_SESSION(source), result, &error);
+            const absl::Status status = statusOf(watch->message, error);
+            if (stream == nullptr || !status.ok()) {
+                if (stream != nullptr) {
+                    g_object_unref(stream);
+                }
+                watch->end(status);
+                return;
+            }
+            watch->lines = g_data_input_stream_new(stream);
+            g_object_unref(stream);
+            watch->readLine();
+        }
+    };
+
+    guint toSeconds(Duration span)
+    {
+        return static_cast<guint>(std::max<long long>((toMilliseconds(span) + 999) / 1000, 1));
+    }
+
+} // namespace
+
+HttpStore::HttpStore(std::string url, Duration timeout)
+    : url(std::move(url))
+    , session(soup_session_new_with_options("timeout", toSeconds(timeout), "max-conns", 64, "max-conns-per-host", 64, nullptr))
+    , watchSession(soup_session_new_with_options("timeout", watchTimeoutSeconds, nullptr))
+{
+}
+
+HttpStore::~HttpStore()
+{
+    soup_session_abort(this->session);
+    soup_session_abort(this->watchSession);
+    g_object_unref(this->session);
+    g_object_unref(this->watchSession);
+}
+
+void HttpStore::read(std::string_view key, Done<std::optional<StoreValue>> done)
+{
+    post(this->session, this->url + "/v3/kv/range", { { "key", toBase64(key) } }, [done = std::move(done)](absl::StatusOr<Json> answer) {
+        if (!answer.ok()) {
+            done(answer.status());
+            return;
+        }
+        const auto entries = answer->find("kvs");
+        if (entries == answer->end() || entries->empty()) {
+            done(std::optional<StoreValue>());
+            return;
+        }
+        done(std::optional(valueOf(entries->front())));
+    });
+}
+
+void HttpStore::list(std::string_view prefix, Done<std::vector<StoreValue>> done)
+{
+    const Json body { { "key", toBase64(prefix) }, { "range_end", toBase64(rangeEnd(std::string(prefix))) } };
+    post(this->session, this->url + "/v3/kv/range", body, [done = std::move(done)](absl::StatusOr<Json> answer) {
+        if (!answer.ok()) {
+            done(answer.status());
+            return;
+        }
+        std::vector<StoreValue> values;
+        if (const auto entries = answer->find("kvs"); entries != answer->end()) {
+            for (const Json& entry : *entries) {
+                values.push_back(valueOf(entry));
+            }
+        }
+        done(std::move(values));
+    });
+}
+
+void HttpStore::compareAndSwap(std::string_view key, Revision expected, std::string_view value, Done<SwapResult> done)
+{
+    const Json compare { { "key", toBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expected) } };
+    const Json put { { "request_put", { { "key", toBase64(key) }, { "value", toBase64(value) } } } };
+    const Json body { { "compare", Json::array({ compare }) }, { "success", Json::array({ put }) } };
+    post(this->session, this->url + "/v3/kv/txn", body, [done = std::move(done)](absl::StatusOr<Json> answer) {
+        if (!answer.ok()) {
+            done(answer.status());
+            return;
+        }
+        done(SwapResult { answer->value("succeeded", false), numberAt(answer->value("header", Json::object()), "revision") });
+    });
+}
+
+void HttpStore::putWithLease(std::string_view key, std::string_view value, uint64_t lease, Done<SwapResult> done)
+{
+    const Json body { { "key", toBase64(key) }, { "value", toBase64(value) }, { "lease", std::to_string(lease) } };
+    post(this->session, this->url + "/v3/kv/put", body, [done = std::move(done)](absl::StatusOr<Json> answer) {
+        if (!answer.ok()) {
+            done(answer.status());
+            return;
+        }
+        done(SwapResult { true, numberAt(answer->value("header", Json::object()), "revision") });
+    });
+}
+
+namespace {
+
+    void postLease(SoupSession* session, const std::string& url, const Json& body, Store::Done<uint64_t> done)
+    {
+        post(session, url, body, [done = std::move(done)](absl::StatusOr<Json> answer) {
+            if (!answer.ok()) {
+                done(answer.status());
+                return;
+            }
+            const Json& result = answer->contains("result") ? (*answer)["result"] : *answer;
+            // A lease that has lapsed is renewed with a lifetime of nothing.
+            if (result.contains("TTL") && numberAt(result, "TTL") == 0) {
+                done(absl::NotFoundError("store: the lease has lapsed"));
+                return;
+            }
+            done(numberAt(result, "ID"));
+        });
+    }
+
+} // namespace
+
+void HttpStore::grantLease(uint32_t seconds, Done<uint64_t> done)
+{
+    postLease(this->session, this->url + "/v3/lease/grant", { { "TTL", std::to_string(seconds) } }, std::move(done));
+}
+
+void HttpStore::renewLease(uint64_t lease, Done<uint64_t> done)
+{
+    postLease(this->session, this->url + "/v3/lease/keepalive", { { "ID", std::to_string(lease) } }, std::move(done));
+}
+
+void HttpStore::revokeLease(uint64_t lease, Done<uint64_t> done)
+{
+    postLease(this->session, this->url + "/v3/lease/revoke", { { "ID", std::to_string(lease) } }, std::move(done));
+}
+
+void HttpStore::watch(std::string_view key, std::function<void(StoreValue)> changed, std::function<void(absl::Status)> ended)
+{
+    const Json body { { "create_request", { { "key", toBase64(key) } } } };
+    SoupMessage* message = makeMessage(this->url + "/v3/watch", body);
+    auto* watch = new Watch { message, std::move(changed), std::move(ended) };
+    soup_session_send_async(this->watchSession, message, G_PRIORITY_DEFAULT, nullptr, &Watch::onOpen, watch);
+}
+
+std::string formatEnvelope(const RulesEnvelope& envelope)
+{
+    return Json { { "change", envelope.change }, { "who", envelope.who }, { "rules", envelope.rules }, { "previous", envelope.previous } }.dump();
+}
+
+absl::StatusOr<RulesEnvelope> parseEnvelope(std::string_view text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    const auto isText = [&json](const char* name) { return json.contains(name) && json[name].is_string(); };
+    if (!json.is_object() || !isText("change") || !isText("who") || !isText("rules")) {
+        return absl::InvalidArgumentError("rules in the store: expected an object with change, who and rules");
+    }
+    RulesEnvelope envelope { json["change"], json["who"], json["rules"], {} };
+    for (const Json& change : json.value("previous", Json::array())) {
+        envelope.previous.push_back(change.is_string() ? change.get<std::string>() : "");
+    }
+    return envelope;
+}
+
+} // namespace lavender
--- /dev/null
+++ b/src/table/setting_table.cpp
@@ -0,0 +1,54 @@
+/** @file setting_table.cpp The settings of the daemons. */
+#include "settings/setting_type.h"
+
+#include <array>
+
+namespace lavender {
+
+namespace {
+
+    constexpr SettingDescription listenSetting { "/listen", SettingKind::AddressText, "", true, 0, 0, "", "Address of this process, UDP and TCP; also its identity" };
+    constexpr SettingDescription zoneSetting { "/zone", SettingKind::Name, "", true, 0, 0, "", "Availability zone that this process runs in" };
+    constexpr SettingDescription storeSetting { "/store/url", SettingKind::Url, "", false, 0, 0, "", "Platform store; without it the process learns from its seeds only" };
+    constexpr SettingDescription storeTimeoutSetting { "/store/timeout_ms", SettingKind::Number, "2000", false, 10, 60'000, "", "A store call without an answer fails after this time" };
+    constexpr SettingDescription seedsSetting { "/seeds", SettingKind::AddressList, "[]", false, 0, 0, "", "Balancers to ask first, besides those that the store names" };
+    constexpr SettingDescription logFormatSetting { "/log/format", SettingKind::Choice, "text", false, 0, 0, "text|json", "Form of the log lines on standard error" };
+    constexpr SettingDescription logLevelSetting { "/log/level", SettingKind::Choice, "info", false, 0, 0, "debug|info|warn|error", "Least level that is logged" };
+
+    constexpr std::array balancerSettings {
+        listenSetting,
+        zoneSetting,
+        storeSetting,
+        storeTimeoutSetting,
+        SettingDescription { "/store/lease_s", SettingKind::Number, "60", false, 5, 3600, "", "Lifetime of the lease under which this balancer is listed; renewed after a third of it" },
+        SettingDescription { "/store/read_s", SettingKind::Number, "30", false, 1, 3600, "", "A balancer that does not watch the store reads the rules about this often" },
+        seedsSetting,
+        SettingDescription { "/steering", SettingKind::Choice, "product", false, 0, 0, "product|naive", "How flows are spread; naive is for comparisons" },
+        SettingDescription { "/stop/linger_ms", SettingKind::Number, "2000", false, 0, 600'000, "", "After the signal to stop, packets are still forwarded for this time" },
+        logFormatSetting,
+        logLevelSetting,
+    };
+
+    constexpr std::array agentSettings {
+        listenSetting,
+        zoneSetting,
+        SettingDescription { "/service", SettingKind::Name, "", true, 0, 0, "", "Service that the upstream belongs to" },
+        SettingDescription { "/upstream/url", SettingKind::Url, "", true, 0, 0, "", "The upstream beside this agent, HTTP/1.1" },
+        SettingDescription { "/upstream/slots", SettingKind::Number, "1", false, 1, 600, "", "Requests that the upstream runs at once; the service's rule may lower it" },
+        SettingDescription { "/upstream/health_ms", SettingKind::Number, "500", false, 50, 60'000, "", "The upstream's health endpoint is read this often" },
+        SettingDescription { "/return", SettingKind::AddressText, "", true, 0, 0, "", "Where packets for callers are sent: the fabric" },
+        storeSetting,
+        storeTimeoutSetting,
+        seedsSetting,
+        SettingDescription { "/stop/drain_s", SettingKind::Number, "300", false, 1, 86'400, "", "After the signal to stop, open work is given up after this time" },
+        SettingDescription { "/stop/linger_ms", SettingKind::Number, "3000", false, 0, 600'000, "", "After the last flow has moved, late packets are still passed on for this time" },
+        logFormatSetting,
+        logLevelSetting,
+    };
+
+} // namespace
+
+const SettingTable balancerSettingTable { "lavender-balancer", balancerSettings };
+const SettingTable agentSettingTable { "lavender-agent", agentSettings };
+
+} // namespace lavender
--- /dev/null
+++ b/src/wire/serialize_func.h
@@ -0,0 +1,188 @@
+/** @file serialize_func.h How cereal writes each message; only codec.cpp includes it. */
+#pragma once
+
+#include "wire/exchange_type.h"
+#include "wire/message_type.h"
+
+#include <cereal/cereal.hpp>
+
+#include <limits>
+
+namespace lavender {
+
+/** Transfers a list with its length in 32 bits; a length over @p limit is refused before memory is taken. */
+template <typename Archive, typename List> void transferList(Archive& archive, List& list, size_t limit)
+{
+    auto count = static_cast<uint32_t>(list.size());
+    archive(count);
+    if (count > limit) {
+        throw cereal::Exception("list too long");
+    }
+    if constexpr (Archive::is_loading::value) {
+        list.resize(count);
+    }
+    if constexpr (sizeof(typename List::value_type) == 1) {
+        archive(cereal::binary_data(list.data(), count));
+    } else {
+        for (auto& entry : list) {
+            archive(entry);
+        }
+    }
+}
+
+/** Transfers an enumeration; a value over @p last is refused. */
+template <typename Archive, typename Enum> void transferEnum(Archive& archive, Enum& value, Enum last)
+{
+    auto number = static_cast<uint8_t>(value);
+    archive(number);
+    if (number > static_cast<uint8_t>(last)) {
+        throw cereal::Exception("enumeration out of range");
+    }
+    value = static_cast<Enum>(number);
+}
+
+/** Transfers a truth value as one byte that is 0 or 1. */
+template <typename Archive> void transferBool(Archive& archive, bool& value)
+{
+    uint8_t number = value ? 1 : 0;
+    archive(number);
+    if (number > 1) {
+        throw cereal::Exception("truth value out of range");
+    }
+    value = number == 1;
+}
+
+template <typename Archive> void serialize(Archive& archive, Address& address) { archive(address.host, address.port); }
+template <typename Archive> void serialize(Archive& archive, FlowKey& flow) { archive(flow.caller, flow.service); }
+
+template <typename Archive> void serialize(Archive& archive, MemberRecord& record)
+{
+    archive(record.address);
+    transferEnum(archive, record.role, MemberRole::Agent);
+    transferList(archive, record.zone, maximumNameBytes);
+    transferList(archive, record.service, maximumNameBytes);
+    archive(record.incarnation, record.version);
+    transferEnum(archive, record.state, MemberState::Draining);
+    transferEnum(archive, record.liveness, Liveness::Gone);
+    archive(record.slots, record.weight);
+}
+
+template <typename Archive> void serialize(Archive& archive, FlowPacket& packet)
+{
+    archive(packet.flow);
+    transferEnum(archive, packet.mark, PacketMark::Closing);
+    transferBool(archive, packet.isToCaller);
+    transferList(archive, packet.payload, maximumPayloadBytes);
+}
+
+template <typename Archive> void serialize(Archive& archive, ForwardedPacket& forwarded)
+{
+    archive(forwarded.packet, forwarded.service);
+    transferList(archive, forwarded.candidates, maximumCandidates);
+    archive(forwarded.visited, forwarded.hops);
+    transferBool(archive, forwarded.isPlaced);
+    archive(forwarded.home);
+}
+
+template <typename Archive> void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
+template <typename Archive> void serialize(Archive& archive, FlowQueryReply& reply) { archive(reply.flow, reply.responder, reply.owner); }
+template <typename Archive> void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough); }
+
+template <typename Archive> void serialize(Archive& archive, FlowMoveReply& reply)
+{
+    archive(reply.flow, reply.responder);
+    transferBool(archive, reply.isTaken);
+}
+
+template <typename Archive> void serialize(Archive& archive, LoadNews& news)
+{
+    archive(news.service, news.agent, news.openFlows, news.inFlight, news.limit);
+}
+
+template <typename Archive> void serialize(Archive& archive, Announce& announce)
+{
+    archive(announce.record, announce.revision, announce.peersDigest);
+}
+
+template <typename Archive> void serialize(Archive& archive, AnnounceReply& reply)
+{
+    archive(reply.balancer, reply.revision);
+    transferList(archive, reply.peers, maximumRecordsPerDatagram);
+    transferList(archive, reply.balancers, maximumCandidates);
+    archive(reply.knownIncarnation, reply.knownVersion);
+    transferEnum(archive, reply.knownLiveness, Liveness::Gone);
+    transferBool(archive, reply.isNudge);
+}
+
+template <typename Archive> void serialize(Archive& archive, Gossip& gossip)
+{
+    archive(gossip.sender, gossip.sequence);
+    transferBool(archive, gossip.isReply);
+    archive(gossip.revision, gossip.digest);
+    transferList(archive, gossip.records, maximumRecordsPerDatagram);
+}
+
+template <typename Archive> void serialize(Archive& archive, DigestExchange& exchange)
+{
+    archive(exchange.sender);
+    transferBool(archive, exchange.isReply);
+    transferList(archive, exchange.buckets, digestBuckets);
+    transferList(archive, exchange.records, maximumRecordsPerDatagram);
+}
+
+template <typename Archive> void serialize(Archive& archive, StatusAsk& ask) { archive(ask.nonce); }
+
+template <typename Archive> void serialize(Archive& archive, StatusReply& reply)
+{
+    archive(reply.nonce);
+    transferList(archive, reply.json, maximumDatagramBytes);
+}
+
+template <typename Archive> void serialize(Archive& archive, SnapshotAsk& ask) { archive(ask.have, ask.service); }
+
+template <typename Archive> void serialize(Archive& archive, Snapshot& snapshot)
+{
+    archive(snapshot.revision);
+    transferList(archive, snapshot.rules, maximumRulesBytes);
+    transferList(archive, snapshot.members, maximumSnapshotRecords);
+}
+
+template <typename Archive> void serialize(Archive& archive, RequestPart& part)
+{
+    archive(part.request, part.attempt, part.part, part.parts);
+    transferBool(archive, part.isRepeatable);
+    archive(part.remaining);
+    transferList(archive, part.key, maximumKeyBytes);
+    transferList(archive, part.body, maximumPartBytes);
+    if (part.parts == 0 || part.parts > maximumParts || part.part >= part.parts) {
+        throw cereal::Exception("part number out of range");
+    }
+}
+
+template <typename Archive> void serialize(Archive& archive, AnswerPart& part)
+{
+    archive(part.request, part.attempt, part.part, part.parts);
+    transferEnum(archive, part.verdict, Verdict::MayHaveRun);
+    transferEnum(archive, part.reason, lastVerdictReason);
+    archive(part.retryAfter);
+    transferList(archive, part.body, maximumPartBytes);
+    if (part.parts == 0 || part.parts > maximumParts || part.part >= part.parts) {
+        throw cereal::Exception("part number out of range");
+    }
+}
+
+template <typename Archive> void serialize(Archive& archive, AnswerAsk& ask)
+{
+    archive(ask.request);
+    transferList(archive, ask.missing, maximumParts);
+}
+
+template <typename Archive> void serialize(Archive& archive, FlowNotice& notice)
+{
+    transferEnum(archive, notice.event, FlowEvent::Closed);
+    transferList(archive, notice.zone, maximumNameBytes);
+    archive(notice.retryAfter);
+    transferList(archive, notice.mayHaveRun, maximumParts / 4);
+}
+
+} // namespace lavender
