--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -1,4 +1,4 @@
-/** @file admission.cpp Additive growth on completed work, multiplicative shrinking. */
+/** @file admission.cpp Growth with busy time that ended in completed work; multiplicative shrinking. */
 #include "agent/admission_base.h"
 
 #include <algorithm>
@@ -7,14 +7,15 @@
 
 namespace {
 
-    constexpr Duration holdAfterFailure = 500ms;
-    constexpr Duration shrinkPeriod = 200ms; ///< Failures of one moment count as one.
+    constexpr Duration holdAfterShed = 500ms; ///< Sheds of one moment count as one, and growth waits.
+    constexpr double rampMargin = 1.2; ///< Clocks and scheduling make busy time look longer here than at the upstream.
 
 } // namespace
 
-void AdmissionLimiter::setSlots(uint16_t count)
+void AdmissionLimiter::configure(uint16_t maximumSlots, Duration rampTime)
 {
-    this->slots = std::max<uint16_t>(count, 1);
+    this->slots = std::max<uint16_t>(maximumSlots, 1);
+    this->ramp = rampTime;
     this->window = std::min(this->window, static_cast<double>(this->slots));
 }
 
@@ -23,24 +24,31 @@
     this->window = 1;
 }
 
-void AdmissionLimiter::onCompleted(TimePoint now, uint16_t inFlight)
+void AdmissionLimiter::onStarted(TimePoint now, uint16_t inFlight)
 {
-    // An idle upstream has not shown that it bears more: only a window in use grows.
-    const bool isInUse = inFlight * 2 >= this->limit();
-    if (now < this->holdUntil || !isInUse) {
-        return;
+    if (inFlight == 1) {
+        this->creditedUntil = now; // Idle time before this warms nothing.
     }
-    this->window = std::min(this->window + 1 / this->window, static_cast<double>(this->slots));
 }
 
-void AdmissionLimiter::onFailure(TimePoint now)
+void AdmissionLimiter::onCompleted(TimePoint now)
 {
-    this->holdUntil = now + holdAfterFailure;
-    if (this->lastShrink != TimePoint {} && now - this->lastShrink < shrinkPeriod) {
+    const Duration busy = now - this->creditedUntil;
+    this->creditedUntil = now;
+    if (now < this->holdUntil) {
         return;
     }
-    this->lastShrink = now;
-    this->window = std::max(this->window / 2, 1.0);
+    const double whole = std::chrono::duration<double>(this->ramp).count() * rampMargin;
+    const double gain = whole > 0 ? (this->slots - 1) * std::chrono::duration<double>(busy).count() / whole : this->slots;
+    this->window = std::min(this->window + gain, static_cast<double>(this->slots));
+}
+
+void AdmissionLimiter::onShed(TimePoint now)
+{
+    if (now >= this->holdUntil) {
+        this->window = std::max(this->window / 2, 1.0);
+    }
+    this->holdUntil = now + holdAfterShed;
 }
 
 } // namespace lavender
--- a/src/agent/admission_base.h
+++ b/src/agent/admission_base.h
@@ -8,27 +8,25 @@
 namespace lavender {
 
 /**
- * Limit of requests in flight towards one upstream. Starts at one, grows on completed work only, halves when the upstream
- * fails, and never passes the slots.
+ * Limit of requests in flight towards one upstream. Starts at one, grows with the time that the upstream has spent on work
+ * it completed, halves when it sheds, and never passes the slots.
  */
 class AdmissionLimiter {
 public:
-    explicit AdmissionLimiter(uint16_t slots)
-        : slots(slots)
-    {
-    }
+    /** Takes the slots and the ramp of the rule in force; the limit shrinks with the slots. */
+    void configure(uint16_t maximumSlots, Duration rampTime);
 
-    /** Takes the slots of the rule in force; the limit shrinks with them. */
-    void setSlots(uint16_t count);
+    /** A request was handed over. @p inFlight counts it. */
+    void onStarted(TimePoint now, uint16_t inFlight);
 
     /** The upstream starts anew: back to one. */
     void onColdStart();
 
-    /** A request was answered. @p inFlight counts it. */
-    void onCompleted(TimePoint now, uint16_t inFlight);
+    /** A request was answered. */
+    void onCompleted(TimePoint now);
 
-    /** The upstream broke or refused an exchange. */
-    void onFailure(TimePoint now);
+    /** The upstream refused work as overload. */
+    void onShed(TimePoint now);
 
     /** Requests that may be in flight at once, 1..slots. */
     uint16_t limit() const { return static_cast<uint16_t>(this->window); }
@@ -36,10 +34,11 @@
     bool isWarm() const { return this->limit() >= this->slots; }
 
 private:
-    uint16_t slots;
+    uint16_t slots = 1;
+    Duration ramp {}; ///< Busy time from cold to all slots.
     double window = 1;
+    TimePoint creditedUntil {}; ///< Busy time before this has been counted.
     TimePoint holdUntil {}; ///< No growth before this.
-    TimePoint lastShrink {};
 };
 
 } // namespace lavender
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -20,6 +20,10 @@
     constexpr Duration noticePeriod = 300ms;
     constexpr int noticeRepeats = 6;
     constexpr uint16_t weightPerSlot = 100;
+    constexpr int missedHealthLimit = 3;
+    constexpr Duration answerProof = 2s; ///< An upstream that answered this lately lives, whatever its health endpoint does.
+
+    bool isOpenState(MemberState state) { return state == MemberState::Cold || state == MemberState::Ready; }
 
     MemberRecord selfRecord(const AgentSettings& settings)
     {
@@ -41,7 +45,7 @@
     , requests(settings.service, this->flows, random, this->count)
     , peers(selfRecord(settings), random)
 {
-    this->requests.admission().setSlots(settings.slots);
+    this->requests.admission().configure(settings.slots, ServiceRule().ramp);
 }
 
 void Agent::onMessage(TimePoint now, const Message& message, Actions& actions)
@@ -99,7 +103,7 @@
 {
     const ServiceRule* rule = this->follower.current().findService(this->settings.service);
     if (rule != nullptr) {
-        this->requests.admission().setSlots(std::min(rule->slots, this->settings.slots));
+        this->requests.admission().configure(std::min(rule->slots, this->settings.slots), rule->ramp);
     }
     if (this->isZoneOut() && !this->wasZoneOut) {
         this->giveUpFlows(now, actions);
@@ -150,9 +154,12 @@
     this->requests.onUpstreamResult(now, result, actions);
 }
 
-void Agent::onUpstreamHealth(TimePoint /*now*/, const UpstreamHealth& health)
+void Agent::onUpstreamHealth(TimePoint now, const UpstreamHealth& health)
 {
     // Health is believed only where it asks for less; that the upstream can carry more, completed work has to show.
+    this->missedHealth = health.isReachable ? 0 : this->missedHealth + 1;
+    const bool isAnswering = this->requests.lastAnswerTime() != TimePoint {} && now - this->requests.lastAnswerTime() < answerProof;
+    this->isUpstreamDown = this->missedHealth >= missedHealthLimit && !isAnswering;
     if (!health.isReachable) {
         return;
     }
@@ -175,18 +182,21 @@
     const AdmissionLimiter& limiter = this->requests.admission();
     const MemberRecord& own = this->peers.self();
     MemberState state = limiter.isWarm() ? MemberState::Ready : MemberState::Cold;
+    if (this->isUpstreamDown) {
+        state = MemberState::Shedding;
+    }
     if (this->isLeaving()) {
         state = MemberState::Draining;
     }
     const auto weight = static_cast<uint16_t>(limiter.limit() * weightPerSlot);
-    const bool isStateChange = (state == MemberState::Draining) != (own.state == MemberState::Draining);
+    const bool isStateChange = isOpenState(state) != isOpenState(own.state);
     const bool isDue = now - this->lastAnnouncedChange >= weightPeriod;
     if (state == own.state && weight == own.weight && limiter.maximum() == own.slots) {
         return;
     }
     if (isStateChange || isDue) {
-        // A leaving agent keeps its weight: its buckets must rank as before, so that its flows are found.
-        this->peers.setSelf(state, state == MemberState::Draining ? own.weight : weight, limiter.maximum());
+        // An agent that takes no flows keeps its weight: its buckets must rank as before, so that its flows are found.
+        this->peers.setSelf(state, isOpenState(state) ? weight : own.weight, limiter.maximum());
         this->lastAnnouncedChange = now;
     }
 }
@@ -233,7 +243,7 @@
 
 void Agent::tick(TimePoint now, Actions& actions)
 {
-    this->requests.setStarting(!this->isLeaving() && !this->isZoneOut());
+    this->requests.setStarting(!this->isHandingOff() && !this->isZoneOut());
     this->refreshSelf(now);
     this->refreshTable();
     this->requests.tick(now, actions);
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -90,6 +90,8 @@
     void refreshSelf(TimePoint now);
     void refreshTable();
     bool isLeaving() const;
+    /** True while flows move to other agents and no work begins here. */
+    bool isHandingOff() const { return this->isUpstreamDown || this->isLeaving(); }
     bool isZoneOut() const { return this->follower.current().isZoneOut(this->settings.zone); }
     void giveUpFlows(TimePoint now, Actions& actions);
     void repeatNotices(TimePoint now, Actions& actions);
@@ -116,6 +118,7 @@
     void tickSearches(TimePoint now, Actions& actions);
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
+    bool isZoneChangeRecent(TimePoint now) const;
     void finishSearch(TimePoint now, const FlowKey& flow, Actions& actions);
 
     // agent_move.cpp
@@ -149,6 +152,8 @@
     LoadNews sentLoad;
     uint64_t upstreamIncarnation = 0;
     bool isUpstreamDraining = false;
+    bool isUpstreamDown = false;
+    int missedHealth = 0; ///< Readings of the health endpoint in a row that got no answer.
     bool isStopping = false;
     bool wasZoneOut = false;
     std::vector<std::pair<FlowKey, FlowNotice>> notices; ///< Sent again a few times: their callers get no other news.
--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -34,7 +34,7 @@
 
 void Agent::moveFlows(TimePoint now, Actions& actions)
 {
-    if (!this->isLeaving()) {
+    if (!this->isHandingOff()) {
         // A move under way is finished all the same: the other agent may have the flow already.
         const bool isAnyMoving = std::any_of(this->flows.begin(), this->flows.end(), [](const auto& entry) { return entry.second.movingTo.isValid(); });
         if (!isAnyMoving) {
@@ -55,7 +55,7 @@
             }
             continue;
         }
-        const Address target = this->isLeaving() ? this->moveTarget(key) : Address {};
+        const Address target = this->isHandingOff() ? this->moveTarget(key) : Address {};
         if (!target.isValid() || !this->requests.isIdle(now, flow)) {
             continue;
         }
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -14,7 +14,7 @@
     constexpr Duration pointerKeepTime = 10min; ///< Renewed by each packet that follows the pointer.
     constexpr Duration loadNewsAge = 1s; ///< Older news of a peer's load is not acted on.
     constexpr double moveMargin = 0.02; ///< A flow is placed elsewhere only for a clear gain.
-    constexpr double moveMarginFlows = 4;
+    constexpr double moveMarginFlows = 2;
 
     size_t indexOf(ForwardedPacket& forwarded, Address agent)
     {
@@ -49,7 +49,7 @@
 bool Agent::canCarry() const
 {
     const ServiceRule* rule = this->follower.current().findService(this->settings.service);
-    return !this->isLeaving() && !this->isZoneOut() && rule != nullptr && this->flows.size() < rule->connections;
+    return !this->isHandingOff() && !this->isZoneOut() && rule != nullptr && this->flows.size() < rule->connections;
 }
 
 bool Agent::mayReceive(Address agent) const
--- a/src/agent/agent_search.cpp
+++ b/src/agent/agent_search.cpp
@@ -11,6 +11,7 @@
     constexpr double searchBurst = 400;
     constexpr size_t maximumSearches = 1024;
     constexpr Duration askPeriod = 300ms;
+    constexpr Duration zoneOutNoticeTime = 5s;
     constexpr Duration searchTime = 10s; ///< Ends without a word to the caller where agents stay silent.
 
 } // namespace
@@ -78,11 +79,18 @@
     this->forward(forwarded, reply.owner, actions);
 }
 
+/** While agents of a zone that went out may not have heard of it, the flow can be theirs: they tell its caller themselves. */
+bool Agent::isZoneChangeRecent(TimePoint now) const
+{
+    const Configuration& configuration = this->follower.current();
+    return now - this->follower.inForceSince() < zoneOutNoticeTime && !configuration.zonesOut.empty();
+}
+
 void Agent::finishSearch(TimePoint now, const FlowKey& flow, Actions& actions)
 {
-    (void)now;
     const auto found = this->searches.find(flow);
-    if (found == this->searches.end() || !found->second.waiting.empty() || !this->peers.isSynchronized()) {
+    const bool isOpen = found == this->searches.end() || !found->second.waiting.empty();
+    if (isOpen || !this->peers.isSynchronized() || this->isZoneChangeRecent(now)) {
         return;
     }
     // Every agent that could hold the flow has said that it does not.
@@ -98,7 +106,8 @@
     std::vector<FlowKey> settled;
     for (auto& [flow, search] : this->searches) {
         std::erase_if(search.waiting, [this](Address peer) { return !this->mayReceive(peer); });
-        if (search.waiting.empty() || now - search.begun >= searchTime) {
+        const bool isAnswered = search.waiting.empty() && !this->isZoneChangeRecent(now);
+        if (isAnswered || now - search.begun >= searchTime) {
             settled.push_back(flow);
         } else if (now - search.asked >= askPeriod) {
             search.asked = now;
--- a/src/agent/request.cpp
+++ b/src/agent/request.cpp
@@ -105,6 +105,7 @@
     request.handOver = action.id;
     request.handedOverAt = now;
     this->running[action.id.value] = { flow.key, request.id };
+    this->limiter.onStarted(now, this->inFlight());
     if (!request.key.empty() && !request.isRepeatable) {
         this->keys[request.key] = { .mayHaveRun = true, .expires = now + keyKeepTime };
         this->keyExpiry.emplace(now + keyKeepTime, request.key);
@@ -193,16 +194,17 @@
         return;
     }
     if (result.outcome == UpstreamOutcome::Answered && result.answer.size() <= maximumPartBytes * maximumParts) {
-        this->limiter.onCompleted(now, this->inFlight());
+        this->limiter.onCompleted(now);
+        this->lastAnswer = now;
         this->latency(std::chrono::duration<double, std::milli>(now - request->handedOverAt).count());
         request->answer = result.answer;
         this->end(now, *flow, *request, Verdict::Answered, VerdictReason::None, actions);
     } else {
         this->counters.add(Counter::UpstreamFailures);
-        this->limiter.onFailure(now);
+        // A shed says that the upstream lives. A broken or refused exchange is what a restart looks like from here: it may be cold.
+        result.outcome == UpstreamOutcome::Shed ? this->limiter.onShed(now) : this->limiter.onColdStart();
         const bool neverHadIt = result.outcome == UpstreamOutcome::Unreachable;
         if (neverHadIt) {
-            this->limiter.onColdStart();
             this->keys.erase(request->key);
         }
         const VerdictReason reason = result.outcome == UpstreamOutcome::Shed ? VerdictReason::UpstreamShed : VerdictReason::UpstreamFailed;
--- a/src/agent/request_base.h
+++ b/src/agent/request_base.h
@@ -65,6 +65,8 @@
 
     AdmissionLimiter& admission() { return this->limiter; }
     const AdmissionLimiter& admission() const { return this->limiter; }
+    /** When the upstream last answered; zero where it never has. */
+    TimePoint lastAnswerTime() const { return this->lastAnswer; }
     uint16_t inFlight() const { return static_cast<uint16_t>(this->running.size()); }
     size_t queued() const { return this->queue.size(); }
     /** Milliseconds after which a refused caller may come back. */
@@ -101,8 +103,9 @@
     FlowTable& flows;
     Random& random;
     Counters& counters;
-    AdmissionLimiter limiter { 1 };
+    AdmissionLimiter limiter;
     bool isStarting = true;
+    TimePoint lastAnswer {};
     uint64_t nextHandOver = 1;
     std::map<uint64_t, RequestRef> running; ///< By HandOverId.
     std::multimap<TimePoint, RequestRef> queue; ///< By deadline.
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -189,6 +189,23 @@
 {
     this->members.tick(now, this->follower.revision(), actions);
     this->refreshTables(now);
+    this->tellAgents(actions);
+}
+
+/** A new revision does not wait for the agents' next announcements. */
+void Balancer::tellAgents(Actions& actions)
+{
+    if (this->toldRevision == this->follower.revision()) {
+        return;
+    }
+    this->toldRevision = this->follower.revision();
+    for (Address agent : this->members.watchedAgents()) {
+        const Member* member = this->members.table().find(agent);
+        if (member != nullptr) {
+            const MemberRecord& record = member->record;
+            actions.push_back(SendMessage { agent, AnnounceReply { .balancer = this->settings.address, .revision = this->toldRevision, .knownIncarnation = record.incarnation, .knownVersion = record.version, .isNudge = true } });
+        }
+    }
 }
 
 void Balancer::beginStop(TimePoint now, Actions& actions)
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -64,6 +64,7 @@
     void handle(TimePoint now, const Gossip& gossip, Actions& actions);
     void noteRevision(TimePoint now, Address peer, Revision revision, Actions& actions);
     void refreshTables(TimePoint now);
+    void tellAgents(Actions& actions);
 
     BalancerSettings settings;
     std::unique_ptr<Steering> steering;
@@ -73,6 +74,7 @@
     uint64_t tablesAt = 0; ///< Change count of the member table that the bucket tables stand for.
     Revision tablesRevision = 0; ///< Revision that the bucket tables stand for.
     TimePoint nextFetch {};
+    Revision toldRevision = 0; ///< Revision that the watched agents were told of.
 };
 
 } // namespace lavender
--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -17,6 +17,7 @@
 
     constexpr uint32_t maximumSlots = 600; ///< Weights on the wire hold hundredths of a slot in 16 bits.
     constexpr uint32_t maximumConnections = 1'000'000;
+    constexpr uint32_t maximumRampMilliseconds = 3'600'000;
 
     struct Word {
         std::string_view text;
@@ -165,8 +166,11 @@
             } else if (option->text == "connections") {
                 number = reader.takeNumber(1, maximumConnections);
                 rule.connections = number.value_or(1);
+            } else if (option->text == "ramp") {
+                number = reader.takeNumber(0, maximumRampMilliseconds);
+                rule.ramp = std::chrono::milliseconds(number.value_or(0));
             } else {
-                reader.fail(option->position, concat("\"", option->text, "\": expected \"slots\" or \"connections\""));
+                reader.fail(option->position, concat("\"", option->text, "\": expected \"slots\", \"connections\" or \"ramp\""));
             }
             if (!number.has_value()) {
                 return;
--- a/src/config/rule_type.h
+++ b/src/config/rule_type.h
@@ -3,6 +3,7 @@
 
 #include "core/address_type.h"
 #include "core/strong_type.h"
+#include "core/time_type.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,7 @@
     std::string name;
     Address address; ///< Where callers send to.
     uint16_t slots = 1; ///< Requests that one upstream runs at once at the most.
+    Duration ramp = 5s; ///< Busy time that an upstream takes from cold to all its slots.
     uint32_t connections = 2000; ///< Flows that one upstream holds at the most.
     uint64_t nameHash = 0; ///< hashText(name): the service on the wire.
 };
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -358,6 +358,15 @@
     }
 }
 
+std::vector<Address> GossipSystem::watchedAgents() const
+{
+    std::vector<Address> agents;
+    for (const auto& [agent, heard] : this->heartbeats) {
+        agents.push_back(agent);
+    }
+    return agents;
+}
+
 void GossipSystem::leave(TimePoint now, Revision revision, Actions& actions)
 {
     this->own.version += 1;
--- a/src/member/gossip_base.h
+++ b/src/member/gossip_base.h
@@ -37,6 +37,9 @@
     /** An agent's announcement arrived: this balancer watches the agent from now on. */
     void onHeartbeat(TimePoint now, Address agent);
 
+    /** Agents that this balancer watches. */
+    std::vector<Address> watchedAgents() const;
+
     /** Says goodbye: the others stop counting on this balancer. */
     void leave(TimePoint now, Revision revision, Actions& actions);
 
--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -324,7 +324,7 @@
             break;
         case FlowEvent::GivenUp:
             ++this->tally.givenUp;
-            ++this->tally.givenUpByZone[flow.zone];
+            ++this->tally.givenUpByZone[notice.zone];
             if (flow.request) {
                 const bool mayHaveRun = std::find(notice.mayHaveRun.begin(), notice.mayHaveRun.end(), flow.request->id) != notice.mayHaveRun.end();
                 this->endRequest(flow, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun, "zone_out", 0);
--- a/standins/upstream_main.cpp
+++ b/standins/upstream_main.cpp
@@ -2,8 +2,8 @@
  * @file upstream_main.cpp Stand-in of an upstream: slots, cold start, shedding, draining, deadlines, cancellation.
  *
  * Options: {"port", "service", "slots", "work_ms", "cold_ms", "record": FILE, "health_lag_ms"}. A cold upstream bears one
- * request and gains its slots over cold_ms of which it has work; given more than it bears, it breaks every exchange and is
- * cold again. Control: POST /control with any of {"draining", "shed", "cold", "lie_ready"}.
+ * request and gains its slots over cold_ms in which it has work; given more than it bears, it breaks the exchange and is cold
+ * again. Control: POST /control with any of {"draining", "shed", "cold", "lie_ready"}.
  * At its end it writes what it ran: {"service", "runs": {"KEY/ATTEMPT": N}, "keys": {KEY: N}, "overloads", "wrong_service", ...}.
  */
 #include "standin_func.h"
@@ -32,7 +32,6 @@
         soup_server_add_handler(server, nullptr, &UpstreamStandin::onRequest, this, nullptr);
         soup_server_add_handler(server, "/health", &UpstreamStandin::onHealth, this, nullptr);
         soup_server_add_handler(server, "/control", &UpstreamStandin::onControl, this, nullptr);
-        standin::every(50, [this] { this->warmUp(); });
         this->shownHealth = this->health();
     }
 
@@ -48,12 +47,15 @@
 private:
     unsigned bears() const { return static_cast<unsigned>(this->warmth); }
 
+    /** Counts the time in which it had work. */
     void warmUp()
     {
-        constexpr double periodMilliseconds = 50;
+        const gint64 now = g_get_monotonic_time();
         if (this->running > 0 && this->coldTime > 0) {
-            this->warmth = std::min<double>(this->warmth + this->slots * periodMilliseconds / this->coldTime, this->slots);
+            const double busy = static_cast<double>(now - this->warmedAt) / 1000;
+            this->warmth = std::min<double>(this->warmth + (this->slots - 1) * busy / this->coldTime, this->slots);
         }
+        this->warmedAt = now;
     }
 
     Json health() const
@@ -122,6 +124,7 @@
         if (path != "/" + self->service) {
             ++self->wrongService;
         }
+        self->warmUp();
         if (self->running + 1 > self->bears()) {
             ++self->overloads;
             self->warmth = 1;
@@ -144,6 +147,7 @@
 
     void finish(SoupServerMessage* message, const std::string& key)
     {
+        this->warmUp();
         --this->running;
         g_signal_handlers_disconnect_by_data(message, this);
         if (g_object_get_data(G_OBJECT(message), "gone") == nullptr) {
@@ -166,6 +170,7 @@
     unsigned coldTime;
     unsigned healthLag;
     std::string record;
+    gint64 warmedAt = g_get_monotonic_time();
     double warmth; ///< Requests that it bears at once.
     uint64_t incarnation;
     unsigned running = 0;
--- a/tools/lib/demo.py
+++ b/tools/lib/demo.py
@@ -104,8 +104,8 @@
         fleet = self.fleet
         zone = fleet.spec["zones"][3]
         self.sleep_until(18)
+        asked_for = time.monotonic()  # Before the commit, so that the figure is no shorter than the truth.
         result = fleet.ctl("zone", "out", zone, "--who", f"{self.name} night operator", "--json")
-        committed = time.monotonic()
         if result.returncode != 0:
             raise RuntimeError(f"zone out: {result.stdout}{result.stderr}")
         self.say(f"zone {zone} out")
@@ -113,7 +113,7 @@
         ports = [port for endpoint, port in fleet.agent_ports.items() if fleet.zone_of(endpoint) == zone]
         asked = time.monotonic()
         ages = [node["last_packet_age_ms"] for node in fleet.status(*ports)]
-        self.zone_out_ms = max(0, round((asked - committed) * 1000 - min(ages)))
+        self.zone_out_ms = max(0, round((asked - asked_for) * 1000 - min(ages)))
         fleet.ctl("zone", "in", zone, "--who", f"{self.name} night operator")
         self.say(f"zone {zone} quiet after {self.zone_out_ms} ms, in again")
 
@@ -121,13 +121,13 @@
         fleet = self.fleet
         self.sleep_until(25)
         path = fleet.write_rules(f"zone {fleet.spec['zones'][3]} in # {self.name} night operator\nweight 127.0.0.1:{fleet.agent_ports[fleet.endpoints[0]]} 90 # {fleet.spec['who']}\n")
+        asked_for = time.monotonic()
         result = json.loads(fleet.ctl("apply", path, "--who", fleet.spec["who"], "--json").stdout)
-        committed = time.monotonic()
         nodes = fleet.balancers
         wait_for(lambda: all(node.get("revision", 0) >= result["revision"] for node in fleet.status(*nodes)), 10)
         asked = time.monotonic()
         youngest = min(node["revision_age_ms"] for node in fleet.status(*nodes))
-        self.in_force_ms = max(0, round((asked - committed) * 1000 - youngest))
+        self.in_force_ms = max(0, round((asked - asked_for) * 1000 - youngest))
         self.say(f"rules changed, in force on {len(nodes)} balancers after {self.in_force_ms} ms")
 
     def figures(self):
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -1,10 +1,11 @@
 """Starts the programs of one deployment on loopback, and stops them by process id."""
 
 import json
-import os
+import random
 import signal
 import socket
 import subprocess
+import threading
 import time
 import urllib.request
 from pathlib import Path
@@ -12,24 +13,27 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
+PORT_RANGE = range(15000, 32000)  # Below the ports that the kernel gives to outgoing connections.
+given_ports = set()
+given_lock = threading.Lock()
+
+
 def free_ports(count):
-    """Ports free for TCP and UDP; held open together so that none comes twice."""
-    sockets, ports = [], []
+    """Ports that are free for TCP and UDP and that no earlier call has given."""
+    ports = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
+        port = random.choice(PORT_RANGE)
+        with given_lock:
+            if port in given_ports:
+                continue
+            given_ports.add(port)
         try:
-            udp.bind(("127.0.0.1", port))
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            ports.append(port)
         except OSError:
-            tcp.close()
-            udp.close()
             continue
-        sockets += [tcp, udp]
-        ports.append(port)
-    for each in sockets:
-        each.close()
     return ports
 
 
@@ -100,7 +104,7 @@
     def rules(self):
         lines = [f"# Rules of {self.name}."]
         for service in self.spec["services"]:
-            lines.append(f"service {service['name']} at {service['address']} slots {service['slots']} connections 2000 # {self.spec['who']}")
+            lines.append(f"service {service['name']} at {service['address']} slots {service['slots']} connections 2000 ramp {service['cold_ms']} # {self.spec['who']}")
             lines += [f"announce {service['name']} in {zone} # {self.spec['who']}" for zone in self.spec["zones"]]
         return "\n".join(lines) + "\n"
 
