lavender-replay: traces through the decision library in virtual time

Cause: failures could only be caused with real processes, at the speed of a clock and never twice alike. Change: a trace format (JSON lines), an event queue, fakes of store, carrier, upstream and callers around the product's own balancer, agent, store follower and commit; policies product, hash and naive; eight traces. The caller and the upstream of the stand-ins are now the same code as those of the replay.

--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -25,6 +25,7 @@
     std::string service; ///< Service of its upstream.
     uint64_t incarnation = 1; ///< Higher than that of any earlier process at this address.
     uint16_t slots = 1; ///< Requests that the upstream runs at once.
+    bool isChaining = true; ///< False: the naive version, which knows only its own flows.
 };
 
 /** What the upstream's health endpoint said. It may be late or wrong. */
@@ -100,6 +101,7 @@
 
     // agent_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
+    void handleUnchained(TimePoint now, const FlowPacket& packet, Actions& actions);
     void handleOpening(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
     void placeOpening(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
     void deliver(TimePoint now, Flow& flow, const FlowPacket& packet, Actions& actions);
--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -34,6 +34,9 @@
 
 void Agent::moveFlows(TimePoint now, Actions& actions)
 {
+    if (!this->settings.isChaining) {
+        return;
+    }
     if (!this->isHandingOff()) {
         // A move under way is finished all the same: the other agent may have the flow already.
         const bool isAnyMoving = std::any_of(this->flows.begin(), this->flows.end(), [](const auto& entry) { return entry.second.movingTo.isValid(); });
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -106,6 +106,10 @@
     if (this->isZoneOut()) {
         this->count.add(Counter::PacketsZoneOut);
     }
+    if (!this->settings.isChaining) {
+        this->handleUnchained(now, forwarded.packet, actions);
+        return;
+    }
     if (const auto trace = this->traces.find(key); trace != this->traces.end()) {
         if (trace->second.kind != TraceKind::Elsewhere) {
             const bool isClosed = trace->second.kind == TraceKind::Closed;
@@ -135,6 +139,18 @@
     }
 }
 
+/** The naive version's way with a flow that it does not hold. */
+void Agent::handleUnchained(TimePoint now, const FlowPacket& packet, Actions& actions)
+{
+    if (packet.mark == PacketMark::Opening && this->canCarry()) {
+        this->acceptFlow(now, packet, actions);
+        return;
+    }
+    const bool isOpening = packet.mark == PacketMark::Opening;
+    this->count.add(isOpening ? Counter::FlowsRefused : Counter::FlowsLost);
+    this->notify(packet.flow, { .event = isOpening ? FlowEvent::Refused : FlowEvent::Lost, .zone = this->settings.zone, .retryAfter = this->requests.retryAfter() }, actions);
+}
+
 void Agent::handleOpening(TimePoint now, ForwardedPacket& forwarded, Actions& actions)
 {
     const bool isChooser = forwarded.home == this->settings.address || !this->mayReceive(forwarded.home) || isVisited(forwarded, forwarded.home);
--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -6,8 +6,8 @@
 #include "daemon/program_func.h"
 #include "daemon/upstream_base.h"
 #include "settings/setting_func.h"
+#include "store/follower.h"
 
-#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -15,9 +15,6 @@
 
 namespace {
 
-    constexpr Duration seedPeriod = 30s;
-    constexpr Duration firstSeedPeriod = 1s; ///< While no configuration has come.
-
     /** How packets get back to their callers. */
     class ReturnPath {
     public:
@@ -38,7 +35,7 @@
         Address fabric;
     };
 
-    class AgentProcess final : public Process {
+    class AgentProcess final : public Process, public SeedFinder::Listener {
     public:
         explicit AgentProcess(const AgentProcessSettings& settings)
             : Process(settings.listen)
@@ -49,12 +46,13 @@
         {
             if (!settings.storeUrl.empty()) {
                 this->store = std::make_unique<HttpStore>(settings.storeUrl, settings.storeTimeout);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
             }
         }
 
         void startTimers()
         {
-            this->seedTimer.startOnce(1ms, [this] { this->findSeeds(); });
+            this->agent.onSeeds(this->settings.seeds);
             this->healthTimer.start(this->settings.healthPeriod, [this] { this->readHealth(); });
         }
 
@@ -67,6 +65,9 @@
         {
             this->agent.tick(now, actions);
             this->noteChanges();
+            if (this->seeds != nullptr) {
+                this->seeds->tick();
+            }
             if (this->agent.isDrained() && !this->isLeaving) {
                 this->isLeaving = true;
                 this->agent.leave(now, actions);
@@ -121,28 +122,8 @@
         }
 
     private:
-        void findSeeds()
-        {
-            this->agent.onSeeds(this->settings.seeds);
-            const bool isSettled = this->agent.configuration().hasAny();
-            this->seedTimer.startOnce((isSettled ? seedPeriod : firstSeedPeriod) / 2 + this->random.jitter(isSettled ? seedPeriod : firstSeedPeriod), [this] { this->findSeeds(); });
-            if (this->store == nullptr) {
-                return;
-            }
-            this->store->list(balancersPrefix, [this](const absl::StatusOr<std::vector<StoreValue>>& values) {
-                std::vector<StoreValue> entries = values.ok() ? *values : std::vector<StoreValue>();
-                // Those of the own zone first; an agent remembers only some.
-                std::stable_partition(entries.begin(), entries.end(), [this](const StoreValue& value) { return value.value == this->settings.zone; });
-                std::vector<Address> seeds;
-                for (const StoreValue& value : entries) {
-                    const absl::StatusOr<Address> seed = parseAddress(std::string_view(value.key).substr(balancersPrefix.size()));
-                    if (seed.ok()) {
-                        seeds.push_back(*seed);
-                    }
-                }
-                this->agent.onSeeds(seeds);
-            });
-        }
+        void onSeeds(std::span<const Address> found) override { this->agent.onSeeds(found); }
+        bool isAlone() const override { return !this->agent.configuration().hasAny(); }
 
         void readHealth()
         {
@@ -174,7 +155,7 @@
         std::unique_ptr<Upstream> upstream;
         std::unique_ptr<ReturnPath> returnPath;
         std::unique_ptr<HttpStore> store;
-        LoopTimer seedTimer;
+        std::unique_ptr<SeedFinder> seeds;
         LoopTimer healthTimer;
         LoopTimer drainTimer;
         LoopTimer lingerTimer;
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -65,11 +65,6 @@
     g_main_loop_unref(this->loop);
 }
 
-TimePoint Process::now()
-{
-    return TimePoint(g_get_monotonic_time());
-}
-
 uint64_t Process::makeIncarnation()
 {
     return static_cast<uint64_t>(g_get_real_time()) / 1000;
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/action_type.h"
+#include "core/clock_base.h"
 #include "core/counter_type.h"
 #include "core/random_base.h"
 #include "daemon/snapshot_channel.h"
@@ -47,6 +48,12 @@
     std::function<void()> function;
 };
 
+/** The machine's monotonic clock. */
+class MonotonicClock final : public Clock {
+public:
+    TimePoint now() const override { return TimePoint(g_get_monotonic_time()); }
+};
+
 /** The part of a daemon that talks to the outside; the decisions are its subclass's. */
 class Process {
 public:
@@ -76,10 +83,11 @@
     void finish(ExitCode code);
     void sendMessage(Address to, const Message& message);
 
-    static TimePoint now();
+    static TimePoint now() { return MonotonicClock().now(); }
     /** Milliseconds since 1970: rises from one start of a process to its next. */
     static uint64_t makeIncarnation();
 
+    MonotonicClock clock;
     CerealEncapsulation encapsulation;
     SeededRandom random;
     bool isStopping = false;
--- /dev/null
+++ b/src/replay/node.cpp
@@ -0,0 +1,198 @@
+/** @file node.cpp Balancers and agents of a replay. */
+#include "replay/node.h"
+
+#include "replay/caller_model.h"
+
+#include <algorithm>
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration upstreamConnectTime = 200us;
+    constexpr Duration healthPeriod = 500ms;
+    constexpr Duration drainGrace = 2s; ///< No work may begin at a leaving upstream later than this.
+    constexpr Duration lingerTime = 3s;
+
+} // namespace
+
+ReplayNode::ReplayNode(std::string nodeName, Address nodeAddress, std::string nodeZone, EventQueue& queue, Carrier& carrier)
+    : name(std::move(nodeName))
+    , address(nodeAddress)
+    , zone(std::move(nodeZone))
+    , queue(queue)
+    , carrier(carrier)
+    , since(queue.now())
+{
+}
+
+void ReplayNode::run(std::function<void()> function)
+{
+    if (this->isDead) {
+        return;
+    }
+    if (this->queue.now() < this->pausedUntil) {
+        this->queue.schedule(this->pausedUntil, [this, function = std::move(function)] { this->run(function); });
+        return;
+    }
+    function();
+}
+
+void ReplayNode::pauseUntil(TimePoint moment)
+{
+    this->pausedUntil = moment;
+    this->since = moment;
+}
+
+void ReplayNode::performAll(const Actions& actions)
+{
+    for (const Action& action : actions) {
+        this->carrier.perform(this->address, action);
+    }
+}
+
+BalancerNode::BalancerNode(std::string nodeName, Address nodeAddress, std::string nodeZone, std::string_view steering, uint64_t seed, EventQueue& queue, Carrier& carrier, Store& store)
+    : ReplayNode(std::move(nodeName), nodeAddress, nodeZone, queue, carrier)
+    , random(seed)
+    , balancer({ nodeAddress, nodeZone, static_cast<uint64_t>(toMilliseconds(queue.now())) + 1 }, makeSteering(steering), random)
+    , follower(store, queue, random, { nodeAddress, nodeZone }, *this)
+    , seeds(store, queue, random, nodeZone, *this)
+{
+}
+
+void BalancerNode::onMessage(const Message& message)
+{
+    Actions actions;
+    this->balancer.onMessage(this->queue.now(), message, actions);
+    this->performAll(actions);
+}
+
+void BalancerNode::tick()
+{
+    if (this->isStopping) {
+        return;
+    }
+    Actions actions;
+    this->balancer.tick(this->queue.now(), actions);
+    this->performAll(actions);
+    this->follower.tick();
+    this->seeds.tick();
+}
+
+void BalancerNode::stop()
+{
+    this->isStopping = true;
+    Actions actions;
+    this->balancer.beginStop(this->queue.now(), actions);
+    this->performAll(actions);
+    this->follower.stop();
+}
+
+void BalancerNode::onRules(Revision newRevision, std::string_view rules)
+{
+    this->run([this, newRevision, text = std::string(rules)] { (void)this->balancer.onConfiguration(this->queue.now(), newRevision, text); });
+}
+
+void BalancerNode::onSeeds(std::span<const Address> found)
+{
+    Actions actions;
+    this->balancer.onSeeds(this->queue.now(), found, actions);
+    this->performAll(actions);
+}
+
+AgentNode::AgentNode(AgentNodeSpec nodeSpec, EventQueue& queue, Carrier& carrier, Store& store)
+    : ReplayNode(nodeSpec.name, nodeSpec.address, nodeSpec.zone, queue, carrier)
+    , spec(std::move(nodeSpec))
+    , random(spec.seed)
+    , agent({ spec.address, spec.zone, spec.service, spec.incarnation, spec.slots, spec.isChaining }, random)
+    , seeds(store, queue, random, spec.zone, *this)
+    , model(spec.slots, spec.coldTime, spec.isCold)
+{
+}
+
+void AgentNode::onMessage(const Message& message)
+{
+    Actions actions;
+    this->agent.onMessage(this->queue.now(), message, actions);
+    this->performAll(actions);
+}
+
+void AgentNode::onSnapshot(const Snapshot& snapshot)
+{
+    Actions actions;
+    this->agent.onSnapshot(this->queue.now(), snapshot, actions);
+    this->performAll(actions);
+}
+
+void AgentNode::tick()
+{
+    Actions actions;
+    this->agent.tick(this->queue.now(), actions);
+    if (this->agent.isDrained() && !this->hasLeft) {
+        this->hasLeft = true;
+        this->agent.leave(this->queue.now(), actions);
+        this->queue.scheduleIn(lingerTime, [this] { this->die(); });
+    }
+    this->performAll(actions);
+    this->seeds.tick();
+    this->readHealth();
+}
+
+void AgentNode::drain()
+{
+    this->drainedAt = this->queue.now();
+    this->agent.beginStop();
+}
+
+void AgentNode::readHealth()
+{
+    if (this->queue.now() < this->nextHealth) {
+        return;
+    }
+    this->nextHealth = this->queue.now() + healthPeriod;
+    this->agent.onUpstreamHealth(this->queue.now(), { .isReachable = !this->isUpstreamDown && !this->isHealthLying, .incarnation = 0 });
+}
+
+void AgentNode::handOver(const HandOver& request)
+{
+    if (this->isUpstreamDown) {
+        this->open.push_back(request.id.value);
+        this->queue.scheduleIn(upstreamConnectTime, [this, request] { this->finishExchange(request.id, UpstreamOutcome::Unreachable, request); });
+        return;
+    }
+    this->open.push_back(request.id.value);
+    this->queue.scheduleIn(upstreamConnectTime, [this, request] {
+        if (!this->isAlive()) {
+            return;
+        }
+        this->wrongService += request.key.starts_with(this->spec.service + "-") ? 0 : 1;
+        this->workAfterDrain += this->drainedAt && this->queue.now() - *this->drainedAt > drainGrace ? 1 : 0;
+        if (!this->model.begin(this->queue.now(), request.key, request.attempt)) {
+            this->finishExchange(request.id, UpstreamOutcome::Failed, request);
+            return;
+        }
+        this->queue.scheduleIn(this->spec.workTime, [this, request] {
+            this->model.finish(this->queue.now());
+            this->finishExchange(request.id, UpstreamOutcome::Answered, request);
+        });
+    });
+}
+
+void AgentNode::finishExchange(HandOverId id, UpstreamOutcome outcome, const HandOver& request)
+{
+    this->run([this, id, outcome, request] {
+        if (std::erase(this->open, id.value) == 0) {
+            return;
+        }
+        UpstreamResult result { .id = id, .outcome = outcome };
+        if (outcome == UpstreamOutcome::Answered) {
+            const std::string answer = expectedAnswer(this->spec.service, request.key, std::string(request.body.begin(), request.body.end()));
+            result.answer.assign(answer.begin(), answer.end());
+        }
+        Actions actions;
+        this->agent.onUpstreamResult(this->queue.now(), result, actions);
+        this->performAll(actions);
+    });
+}
+
+} // namespace lavender
--- a/src/ctl/commit.cpp
+++ b/src/store/commit.cpp
@@ -1,5 +1,5 @@
 /** @file commit.cpp One compare-and-swap with a change id; an unanswered write is resolved by reading. */
-#include "ctl/commit.h"
+#include "store/commit.h"
 
 #include "core/text_func.h"
 
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -320,23 +320,4 @@
     soup_session_send_async(this->watchSession, message, G_PRIORITY_DEFAULT, nullptr, &Watch::onOpen, watch);
 }
 
-std::string formatEnvelope(const RulesEnvelope& envelope)
-{
-    return Json { { "change", envelope.change }, { "who", envelope.who }, { "rules", envelope.rules }, { "previous", envelope.previous } }.dump();
-}
-
-absl::StatusOr<RulesEnvelope> parseEnvelope(std::string_view text)
-{
-    const Json json = Json::parse(text, nullptr, false);
-    const auto isText = [&json](const char* name) { return json.contains(name) && json[name].is_string(); };
-    if (!json.is_object() || !isText("change") || !isText("who") || !isText("rules")) {
-        return absl::InvalidArgumentError("rules in the store: expected an object with change, who and rules");
-    }
-    RulesEnvelope envelope { json["change"], json["who"], json["rules"], {} };
-    for (const Json& change : json.value("previous", Json::array())) {
-        envelope.previous.push_back(change.is_string() ? change.get<std::string>() : "");
-    }
-    return envelope;
-}
-
 } // namespace lavender
--- a/standins/upstream_main.cpp
+++ b/standins/upstream_main.cpp
@@ -6,10 +6,12 @@
  * again. Control: POST /control with any of {"draining", "shed", "cold", "lie_ready"}.
  * At its end it writes what it ran: {"service", "runs": {"KEY/ATTEMPT": N}, "keys": {KEY: N}, "overloads", "wrong_service", ...}.
  */
+#include "core/time_type.h"
+#include "replay/caller_model.h"
+#include "replay/upstream_model.h"
 #include "standin_func.h"
 
-#include <algorithm>
-#include <map>
+#include <cstdlib>
 #include <string>
 
 namespace {
@@ -20,12 +22,11 @@
 public:
     explicit UpstreamStandin(const Json& options)
         : service(options.value("service", ""))
-        , slots(options.value("slots", 1U))
+        , slots(options.value("slots", uint16_t { 1 }))
         , workTime(options.value("work_ms", 20U))
-        , coldTime(options.value("cold_ms", 0U))
         , healthLag(options.value("health_lag_ms", 0U))
         , record(options.value("record", ""))
-        , warmth(coldTime == 0 ? slots : 1.0)
+        , model(slots, std::chrono::milliseconds(options.value("cold_ms", 0)), true)
         , incarnation(static_cast<uint64_t>(g_get_real_time()))
     {
         SoupServer* server = standin::serve(options.value("port", uint16_t { 0 }));
@@ -40,27 +41,16 @@
         if (this->record.empty()) {
             return;
         }
-        const Json json { { "service", this->service }, { "runs", this->runs }, { "keys", this->keys }, { "overloads", this->overloads }, { "wrong_service", this->wrongService }, { "shed", this->sheds }, { "cancelled", this->cancelled }, { "highest", this->highest }, { "after_drain", this->afterDrain } };
+        const Json json { { "service", this->service }, { "runs", this->model.runs }, { "keys", this->model.keys }, { "overloads", this->model.overloads }, { "wrong_service", this->wrongService }, { "shed", this->sheds }, { "cancelled", this->cancelled }, { "highest", this->model.highest }, { "after_drain", this->afterDrain } };
         standin::writeFile(this->record, json.dump());
     }
 
 private:
-    unsigned bears() const { return static_cast<unsigned>(this->warmth); }
-
-    /** Counts the time in which it had work. */
-    void warmUp()
-    {
-        const gint64 now = g_get_monotonic_time();
-        if (this->running > 0 && this->coldTime > 0) {
-            const double busy = static_cast<double>(now - this->warmedAt) / 1000;
-            this->warmth = std::min<double>(this->warmth + (this->slots - 1) * busy / this->coldTime, this->slots);
-        }
-        this->warmedAt = now;
-    }
+    static lavender::TimePoint now() { return lavender::TimePoint(g_get_monotonic_time()); }
 
     Json health() const
     {
-        return { { "draining", this->isDraining }, { "incarnation", this->incarnation }, { "ready", this->isLying || this->bears() >= this->slots }, { "running", this->running } };
+        return { { "draining", this->isDraining }, { "incarnation", this->incarnation }, { "ready", this->isLying || this->model.bears() >= this->slots }, { "running", this->model.inFlight() } };
     }
 
     static void onHealth(SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
@@ -85,7 +75,7 @@
         self->isShedding = knobs.value("shed", self->isShedding);
         self->isLying = knobs.value("lie_ready", self->isLying);
         if (knobs.value("cold", false)) {
-            self->warmth = 1;
+            self->model.becomeCold();
         }
         standin::answerJson(message, SOUP_STATUS_OK, self->health());
     }
@@ -119,20 +109,14 @@
             ++self->afterDrain;
         }
         const std::string key = headerOf(message, "Idempotency-Key");
-        ++self->runs[key + "/" + headerOf(message, "Lavender-Attempt")];
-        ++self->keys[key];
         if (path != "/" + self->service) {
             ++self->wrongService;
         }
-        self->warmUp();
-        if (self->running + 1 > self->bears()) {
-            ++self->overloads;
-            self->warmth = 1;
+        const auto attempt = static_cast<uint32_t>(std::strtoul(headerOf(message, "Lavender-Attempt").c_str(), nullptr, 10));
+        if (!self->model.begin(now(), key, attempt)) {
             breakExchange(message);
             return;
         }
-        ++self->running;
-        self->highest = std::max(self->highest, self->running);
         soup_server_message_pause(message);
         g_object_ref(message);
         g_signal_connect(message, "disconnected", G_CALLBACK(&UpstreamStandin::onDisconnected), self);
@@ -147,15 +131,14 @@
 
     void finish(SoupServerMessage* message, const std::string& key)
     {
-        this->warmUp();
-        --this->running;
+        this->model.finish(now());
         g_signal_handlers_disconnect_by_data(message, this);
         if (g_object_get_data(G_OBJECT(message), "gone") == nullptr) {
             GBytes* body = soup_message_body_flatten(soup_server_message_get_request_body(message));
             gsize size = 0;
             const auto* bytes = static_cast<const char*>(g_bytes_get_data(body, &size));
             const std::string text(bytes, size);
-            const std::string answer = this->service + "\n" + key + "\n" + text + text;
+            const std::string answer = lavender::expectedAnswer(this->service, key, text);
             g_bytes_unref(body);
             soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
             soup_server_message_set_response(message, "application/octet-stream", SOUP_MEMORY_COPY, answer.data(), answer.size());
@@ -165,27 +148,20 @@
     }
 
     std::string service;
-    unsigned slots;
+    uint16_t slots;
     unsigned workTime; ///< Milliseconds of each request.
-    unsigned coldTime;
     unsigned healthLag;
     std::string record;
-    gint64 warmedAt = g_get_monotonic_time();
-    double warmth; ///< Requests that it bears at once.
+    lavender::UpstreamModel model;
     uint64_t incarnation;
-    unsigned running = 0;
-    unsigned highest = 0;
     bool isDraining = false;
     bool isShedding = false;
     bool isLying = false;
     gint64 drainedAt = 0;
-    uint64_t overloads = 0;
     uint64_t wrongService = 0;
     uint64_t sheds = 0;
     uint64_t cancelled = 0;
     uint64_t afterDrain = 0;
-    std::map<std::string, uint64_t> runs;
-    std::map<std::string, uint64_t> keys;
     Json shownHealth;
 };
 
