--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -80,6 +80,8 @@
     struct Search {
         ForwardedPacket packet; ///< Latest packet of the flow; sent on when the owner is found.
         std::set<Address> waiting; ///< Agents that have not answered.
+        int round = 1; ///< Everyone is asked twice before the flow counts as lost.
+        int redirections = 0; ///< Agents that named another one.
         TimePoint begun {};
         TimePoint asked {};
     };
@@ -121,6 +123,8 @@
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
     bool isZoneChangeRecent(TimePoint now) const;
+    void askEveryone(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
+    void askWaiting(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
     void finishSearch(TimePoint now, const FlowKey& flow, Actions& actions);
 
     // agent_move.cpp
--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -29,7 +29,7 @@
 {
     flow.movingTo = target;
     flow.moveSent = now;
-    actions.push_back(SendMessage { target, FlowMove { this->serviceHash, flow.key, this->settings.address, flow.finished.through } });
+    actions.push_back(SendMessage { target, FlowMove { this->serviceHash, flow.key, this->settings.address, flow.finished.through, flow.moves + 1 } });
 }
 
 void Agent::moveFlows(TimePoint now, Actions& actions)
@@ -75,21 +75,21 @@
         this->count.add(Counter::PacketsWrongService);
         return;
     }
-    FlowMoveReply reply { .flow = move.flow, .responder = this->settings.address, .isTaken = true };
-    if (!this->flows.contains(move.flow)) {
-        const auto trace = this->traces.find(move.flow);
-        const bool isFinished = trace != this->traces.end() && (trace->second.kind != TraceKind::Elsewhere || trace->second.owner != move.from);
-        if (!isFinished && this->canCarry()) {
+    FlowMoveReply reply { .flow = move.flow, .responder = this->settings.address, .moves = move.moves, .isTaken = true };
+    const auto trace = this->traces.find(move.flow);
+    // A copy of a move that this agent took earlier: the flow has ended or gone on since.
+    const bool isOld = trace != this->traces.end() && (trace->second.kind != TraceKind::Elsewhere || trace->second.moves >= move.moves);
+    if (!isOld && !this->flows.contains(move.flow)) {
+        reply.isTaken = this->canCarry();
+        if (reply.isTaken) {
             Flow& flow = this->flows[move.flow];
             flow.key = move.flow;
             flow.lastHeard = now;
             flow.finished.through = move.finishedThrough;
+            flow.moves = move.moves;
             this->traces.erase(move.flow);
             this->searches.erase(move.flow);
             this->count.add(Counter::FlowsReceived);
-        } else {
-            // A finished flow was taken by an earlier copy of this message and has ended here since.
-            reply.isTaken = isFinished;
         }
     }
     actions.push_back(SendMessage { move.from, reply });
@@ -99,7 +99,7 @@
 {
     (void)actions;
     const auto found = this->flows.find(reply.flow);
-    if (found == this->flows.end() || found->second.movingTo != reply.responder) {
+    if (found == this->flows.end() || found->second.movingTo != reply.responder || found->second.moves + 1 != reply.moves) {
         return;
     }
     if (!reply.isTaken) {
@@ -108,6 +108,7 @@
     }
     this->flows.erase(found);
     this->remember(now, reply.flow, TraceKind::Elsewhere, reply.responder);
+    this->traces[reply.flow].moves = reply.moves;
     this->count.add(Counter::FlowsMoved);
 }
 
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -43,7 +43,10 @@
 
 void Agent::remember(TimePoint now, const FlowKey& flow, TraceKind kind, Address owner)
 {
-    this->traces[flow] = { kind, owner, now + (kind == TraceKind::Elsewhere ? pointerKeepTime : closedKeepTime) };
+    FlowTrace& trace = this->traces[flow];
+    trace.kind = kind;
+    trace.owner = owner;
+    trace.expires = now + (kind == TraceKind::Elsewhere ? pointerKeepTime : closedKeepTime);
 }
 
 bool Agent::canCarry() const
@@ -117,18 +120,18 @@
             return;
         }
         const Address owner = trace->second.owner;
-        if (!isVisited(forwarded, owner) && this->mayReceive(owner)) {
+        if (owner.isValid() && !isVisited(forwarded, owner) && this->mayReceive(owner)) {
             trace->second.expires = now + pointerKeepTime;
             this->forward(forwarded, owner, actions);
             return;
         }
         // Two agents point at each other: copies of one opening packet crossed. Both take the lower address as owner.
-        if (forwarded.packet.mark == PacketMark::Opening && isVisited(forwarded, owner) && !isRepeatVisit && owner < this->settings.address) {
+        if (owner.isValid() && forwarded.packet.mark == PacketMark::Opening && isVisited(forwarded, owner) && !isRepeatVisit && owner < this->settings.address) {
             forwarded.isPlaced = true;
             this->forward(forwarded, owner, actions);
             return;
         }
-        this->traces.erase(trace);
+        trace->second.owner = {};
     }
     if (forwarded.packet.mark == PacketMark::Opening) {
         this->handleOpening(now, forwarded, actions);
--- a/src/agent/agent_search.cpp
+++ b/src/agent/agent_search.cpp
@@ -10,6 +10,7 @@
     constexpr double searchesPerSecond = 200;
     constexpr double searchBurst = 400;
     constexpr size_t maximumSearches = 1024;
+    constexpr int maximumRedirections = 8;
     constexpr Duration askPeriod = 300ms;
     constexpr Duration zoneOutNoticeTime = 5s;
     constexpr Duration searchTime = 10s; ///< Ends without a word to the caller where agents stay silent.
@@ -32,13 +33,25 @@
     Search& search = this->searches[key];
     search.packet = forwarded;
     search.begun = now;
-    search.asked = now;
+    this->askEveryone(now, key, search, actions);
+}
+
+void Agent::askEveryone(TimePoint now, const FlowKey& flow, Search& search, Actions& actions)
+{
     for (const MemberRecord& peer : this->peers.others()) {
         if (this->mayReceive(peer.address)) {
             search.waiting.insert(peer.address);
-            actions.push_back(SendMessage { peer.address, FlowQuery { this->serviceHash, key, this->settings.address } });
         }
     }
+    this->askWaiting(now, flow, search, actions);
+}
+
+void Agent::askWaiting(TimePoint now, const FlowKey& flow, Search& search, Actions& actions)
+{
+    search.asked = now;
+    for (Address peer : search.waiting) {
+        actions.push_back(SendMessage { peer, FlowQuery { this->serviceHash, flow, this->settings.address } });
+    }
 }
 
 void Agent::handle(TimePoint now, const FlowQuery& query, Actions& actions)
@@ -51,7 +64,7 @@
     if (this->flows.contains(query.flow)) {
         reply.owner = this->settings.address;
     } else if (const auto trace = this->traces.find(query.flow); trace != this->traces.end() && trace->second.kind == TraceKind::Elsewhere) {
-        const bool isUseful = trace->second.owner != query.asker && this->mayReceive(trace->second.owner);
+        const bool isUseful = trace->second.owner.isValid() && trace->second.owner != query.asker && this->mayReceive(trace->second.owner);
         reply.owner = isUseful ? trace->second.owner : Address {};
     }
     (void)now;
@@ -71,6 +84,13 @@
     }
     // Only the owner's own word ends the search: another agent's may be older than what it points at.
     if (reply.owner != reply.responder) {
+        Search& search = found->second;
+        search.waiting.erase(reply.responder);
+        if (this->mayReceive(reply.owner) && reply.owner != this->settings.address && ++search.redirections <= maximumRedirections) {
+            search.waiting.insert(reply.owner);
+            actions.push_back(SendMessage { reply.owner, FlowQuery { this->serviceHash, reply.flow, this->settings.address } });
+        }
+        this->finishSearch(now, reply.flow, actions);
         return;
     }
     ForwardedPacket forwarded = std::move(found->second.packet);
@@ -93,7 +113,17 @@
     if (isOpen || !this->peers.isSynchronized() || this->isZoneChangeRecent(now)) {
         return;
     }
-    // Every agent that could hold the flow has said that it does not.
+    // A flow that moved from one agent to another between their two answers was missed by both: ask again.
+    if (found->second.round == 1) {
+        if (now - found->second.begun >= askPeriod) {
+            found->second.round = 2;
+            this->askEveryone(now, flow, found->second, actions);
+        }
+        if (!found->second.waiting.empty() || found->second.round == 1) {
+            return;
+        }
+    }
+    // Every agent that could hold the flow has said twice that it does not.
     this->searches.erase(found);
     this->count.add(Counter::FlowsLost);
     this->notify(flow, { .event = FlowEvent::Lost, .zone = this->settings.zone }, actions);
@@ -103,24 +133,20 @@
 {
     const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
     this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
-    std::vector<FlowKey> settled;
+    std::vector<FlowKey> answered;
     for (auto& [flow, search] : this->searches) {
         std::erase_if(search.waiting, [this](Address peer) { return !this->mayReceive(peer); });
-        const bool isAnswered = search.waiting.empty() && !this->isZoneChangeRecent(now);
-        if (isAnswered || now - search.begun >= searchTime) {
-            settled.push_back(flow);
+        if (search.waiting.empty()) {
+            answered.push_back(flow);
         } else if (now - search.asked >= askPeriod) {
-            search.asked = now;
-            for (Address peer : search.waiting) {
-                actions.push_back(SendMessage { peer, FlowQuery { this->serviceHash, flow, this->settings.address } });
-            }
+            this->askWaiting(now, flow, search, actions);
         }
     }
-    std::sort(settled.begin(), settled.end());
-    for (const FlowKey& flow : settled) {
+    std::sort(answered.begin(), answered.end());
+    for (const FlowKey& flow : answered) {
         this->finishSearch(now, flow, actions);
-        this->searches.erase(flow);
     }
+    std::erase_if(this->searches, [now](const auto& entry) { return now - entry.second.begun >= searchTime; });
 }
 
 } // namespace lavender
--- a/src/agent/flow_base.h
+++ b/src/agent/flow_base.h
@@ -59,6 +59,7 @@
     std::vector<Request> requests; ///< In rising order of id.
     Address movingTo; ///< Valid while the flow is handed to another agent; no work begins then.
     TimePoint moveSent {};
+    uint32_t moves = 0; ///< Times that the flow has moved.
 
     Request* find(uint64_t id);
 };
@@ -74,6 +75,7 @@
 struct FlowTrace {
     TraceKind kind = TraceKind::Elsewhere;
     Address owner; ///< For Elsewhere.
+    uint32_t moves = 0; ///< Times that the flow had moved when it left here; 0 where it was never here.
     TimePoint expires {};
 };
 
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -20,11 +20,12 @@
         return { .address = settings.address, .role = MemberRole::Balancer, .zone = settings.zone, .incarnation = settings.incarnation, .version = 1, .state = MemberState::Ready };
     }
 
+    /** Agents of one service, those that are gone too: an agent that missed the news must hear it. */
     std::vector<MemberRecord> agentsOf(const MemberTable& table, std::string_view service)
     {
         std::vector<MemberRecord> records;
         for (const auto& [address, member] : table.all()) {
-            if (member.record.role == MemberRole::Agent && member.record.service == service && member.record.liveness != Liveness::Gone) {
+            if (member.record.role == MemberRole::Agent && member.record.service == service) {
                 records.push_back(member.record);
             }
         }
@@ -151,9 +152,13 @@
 
 void Balancer::onSeeds(TimePoint now, std::span<const Address> seeds, Actions& actions)
 {
+    if (now < this->nextSeeds || seeds.empty()) {
+        return;
+    }
+    this->nextSeeds = now + fetchPeriod;
     this->members.addSeeds(now, seeds, this->follower.revision(), actions);
     // A process that knows nobody takes the whole table at once instead of waiting for gossip.
-    if (this->members.balancers("").empty() && !seeds.empty() && now >= this->nextFetch) {
+    if (this->members.balancers("").empty() && now >= this->nextFetch) {
         for (Address seed : seeds) {
             if (seed != this->settings.address) {
                 this->nextFetch = now + fetchPeriod;
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -74,6 +74,7 @@
     uint64_t tablesAt = 0; ///< Change count of the member table that the bucket tables stand for.
     Revision tablesRevision = 0; ///< Revision that the bucket tables stand for.
     TimePoint nextFetch {};
+    TimePoint nextSeeds {};
     Revision toldRevision = 0; ///< Revision that the watched agents were told of.
 };
 
--- a/src/member/member_table.cpp
+++ b/src/member/member_table.cpp
@@ -81,7 +81,7 @@
 {
     uint64_t digest = 0;
     for (const MemberRecord& record : records) {
-        digest ^= hashRecord(record);
+        digest ^= record.liveness == Liveness::Gone ? 0 : hashRecord(record);
     }
     return digest;
 }
--- a/src/member/member_table.h
+++ b/src/member/member_table.h
@@ -52,7 +52,7 @@
     uint64_t changes = 0;
 };
 
-/** Digest of one set of records, for the peers of a service. */
+/** Digest of those of the records that are not gone, for the peers of a service. */
 uint64_t digestRecords(std::span<const MemberRecord> records);
 
 /** Bytes that a record takes on the wire at the most. */
--- a/src/replay/node.cpp
+++ b/src/replay/node.cpp
@@ -51,12 +51,13 @@
     }
 }
 
-BalancerNode::BalancerNode(std::string nodeName, Address nodeAddress, std::string nodeZone, std::string_view steering, uint64_t seed, EventQueue& queue, Carrier& carrier, Store& store)
+BalancerNode::BalancerNode(std::string nodeName, Address nodeAddress, std::string nodeZone, std::string_view steering, uint64_t seed, std::vector<Address> configuredSeeds, EventQueue& queue, Carrier& carrier, Store& store)
     : ReplayNode(std::move(nodeName), nodeAddress, nodeZone, queue, carrier)
     , random(seed)
     , balancer({ nodeAddress, nodeZone, static_cast<uint64_t>(toMilliseconds(queue.now())) + 1 }, makeSteering(steering), random)
     , follower(store, queue, random, { nodeAddress, nodeZone }, *this)
     , seeds(store, queue, random, nodeZone, *this)
+    , configured(std::move(configuredSeeds))
 {
 }
 
@@ -74,6 +75,9 @@
     }
     Actions actions;
     this->balancer.tick(this->queue.now(), actions);
+    if (this->isAlone()) {
+        this->balancer.onSeeds(this->queue.now(), this->configured, actions);
+    }
     this->performAll(actions);
     this->follower.tick();
     this->seeds.tick();
--- a/src/replay/replay_main.cpp
+++ b/src/replay/replay_main.cpp
@@ -64,7 +64,7 @@
         std::cout << json.dump(2) << "\n";
     }
 
-    int replay(const std::string& path, uint64_t seed, const ReplayPolicy& policy, bool isJson)
+    int replay(const std::string& path, uint64_t seed, const ReplayPolicy& policy, const std::string& watched, bool isJson)
     {
         std::string text;
         if (!readFile(path, text)) {
@@ -77,6 +77,7 @@
             return exitBadTrace;
         }
         World world(*trace, policy, seed);
+        world.watchFlow(watched);
         world.run();
         const Figures figures = collectFigures(world);
         const std::vector<FailedExpectation> failed = checkExpectations(*trace, figures, world);
@@ -93,10 +94,11 @@
     using namespace lavender; // NOLINT(google-build-using-namespace): the program's only function
     std::string path;
     std::string policy;
+    std::string watched;
     uint64_t seed = 1;
     bool isJson = false;
     options::options_description visible("Usage: lavender-replay TRACE [OPTIONS]\n\nOptions");
-    visible.add_options()("help", "print this text")("version", "print the version")("seed", options::value(&seed)->default_value(1), "seed of all chance")("policy", options::value(&policy)->default_value("product"), "product, naive (modulo, no chaining) or hash (the product's buckets, no chaining)")("json", options::bool_switch(&isJson), "print JSON");
+    visible.add_options()("help", "print this text")("version", "print the version")("seed", options::value(&seed)->default_value(1), "seed of all chance")("policy", options::value(&policy)->default_value("product"), "product, naive (modulo, no chaining) or hash (the product's buckets, no chaining)")("watch", options::value(&watched), "print every message about this flow, as 10.0.0.1:1234>10.20.0.1:80, to standard error")("json", options::bool_switch(&isJson), "print JSON");
     options::options_description all;
     all.add(visible).add_options()("trace", options::value(&path));
     options::positional_options_description positions;
@@ -122,5 +124,5 @@
         std::cerr << "lavender-replay: " << (path.empty() ? "no trace given" : "--policy: expected product, naive or hash") << "; see --help\n";
         return exitBadTrace;
     }
-    return replay(path, seed, chosen->second, isJson);
+    return replay(path, seed, chosen->second, watched, isJson);
 }
--- a/src/replay/world.cpp
+++ b/src/replay/world.cpp
@@ -53,7 +53,8 @@
 void World::addBalancer(const std::string& name, const std::string& zone)
 {
     const Address address { balancerHosts + static_cast<uint32_t>(this->balancers.size()), nodePort };
-    this->balancers.push_back(std::make_unique<BalancerNode>(name, address, zone, this->policy.steering, hashPair(this->random.below(1U << 30U), this->nextSeed++), this->queue, *this, this->store));
+    const std::vector<Address> seeds { { balancerHosts, nodePort }, { balancerHosts + 1, nodePort }, { balancerHosts + 2, nodePort } };
+    this->balancers.push_back(std::make_unique<BalancerNode>(name, address, zone, this->policy.steering, hashPair(this->random.below(1U << 30U), this->nextSeed++), seeds, this->queue, *this, this->store));
     this->byAddress[address] = this->balancers.back().get();
     this->tickNode(*this->balancers.back());
 }
@@ -169,6 +170,7 @@
     if (target == nullptr || sender == nullptr) {
         return;
     }
+    this->showMessage(sender->name, target->name, message);
     // Through the codec, as on a socket.
     const absl::StatusOr<Message> decoded = decodeMessage(encodeMessage(message));
     if (!decoded.ok()) {
@@ -211,6 +213,7 @@
     if (const auto* send = std::get_if<SendMessage>(&action)) {
         this->deliver(from, send->to, send->message);
     } else if (const auto* back = std::get_if<SendToCaller>(&action)) {
+        this->showMessage(this->findNode(from)->name, "caller", back->packet);
         this->carry(outside, outside, false, 2 * this->faults.delay, [this, packet = back->packet] {
             std::vector<FlowPacket> out;
             this->model.onPacket(this->queue.now(), packet, out);
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -51,6 +51,9 @@
 
     void perform(Address from, const Action& action) override;
 
+    /** Prints every message about a flow to standard error. */
+    void watchFlow(std::string flow) { this->watched = std::move(flow); }
+
     const CallerTally& callers() const { return this->model.tally(); }
     const WorldMeasures& measures() const { return this->measure; }
     const std::vector<std::unique_ptr<AgentNode>>& agentNodes() const { return this->agents; }
@@ -93,6 +96,7 @@
     void measureRevisions();
     void noteRules(const StoreValue& value);
     void notePacketInto(const AgentNode& agent);
+    void showMessage(std::string_view from, std::string_view to, const Message& message) const;
 
     nlohmann::json setup;
     std::vector<TraceEvent> events;
@@ -112,6 +116,7 @@
     std::set<std::string> outEver;
     std::map<const ReplayNode*, Revision> seenRevision;
     WorldMeasures measure;
+    std::string watched; ///< As formatFlow writes it; empty for none.
     uint64_t nextSeed = 1;
 };
 
--- a/src/replay/world_measure.cpp
+++ b/src/replay/world_measure.cpp
@@ -3,8 +3,10 @@
 
 #include "config/rule_func.h"
 #include "core/text_func.h"
+#include "wire/codec_func.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace lavender {
 
@@ -110,6 +112,39 @@
     }
 }
 
+void World::showMessage(std::string_view from, std::string_view to, const Message& message) const
+{
+    if (this->watched.empty()) {
+        return;
+    }
+    std::string what;
+    const FlowKey* flow = nullptr;
+    if (const auto* forwarded = std::get_if<ForwardedPacket>(&message)) {
+        flow = &forwarded->packet.flow;
+        what = concat("packet, mark ", static_cast<int>(forwarded->packet.mark), ", hops ", forwarded->hops, ", visited ", forwarded->visited, forwarded->isPlaced ? ", placed" : "");
+    } else if (const auto* packet = std::get_if<FlowPacket>(&message)) {
+        flow = &packet->flow;
+        const absl::StatusOr<Exchange> exchange = decodeExchange(packet->payload);
+        const auto* notice = exchange.ok() ? std::get_if<FlowNotice>(&*exchange) : nullptr;
+        what = notice == nullptr ? "answer" : concat("notice ", static_cast<int>(notice->event));
+    } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
+        flow = &query->flow;
+        what = "query";
+    } else if (const auto* reply = std::get_if<FlowQueryReply>(&message)) {
+        flow = &reply->flow;
+        what = concat("query reply, owner ", reply->owner.isValid() ? formatAddress(reply->owner) : "unknown");
+    } else if (const auto* move = std::get_if<FlowMove>(&message)) {
+        flow = &move->flow;
+        what = concat("move ", move->moves);
+    } else if (const auto* moved = std::get_if<FlowMoveReply>(&message)) {
+        flow = &moved->flow;
+        what = concat("move ", moved->moves, moved->isTaken ? " taken" : " refused");
+    }
+    if (flow != nullptr && formatFlow(*flow) == this->watched) {
+        std::cerr << toMilliseconds(this->queue.now()) << " ms: " << from << " to " << to << ": " << what << "\n";
+    }
+}
+
 void World::measureAll()
 {
     this->measureImbalance();
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -78,6 +78,7 @@
     FlowKey flow;
     Address from;
     uint64_t finishedThrough = 0; ///< Requests of the flow with this id or a lower one never run again.
+    uint32_t moves = 0; ///< Times that the flow has moved, this one counted.
     bool operator==(const FlowMove&) const = default;
 };
 
@@ -85,6 +86,7 @@
 struct FlowMoveReply {
     FlowKey flow;
     Address responder;
+    uint32_t moves = 0; ///< Of the FlowMove that is answered.
     bool isTaken = false; ///< False: the flow stays where it was.
     bool operator==(const FlowMoveReply&) const = default;
 };
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -86,11 +86,11 @@
 
 template <typename Archive> void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
 template <typename Archive> void serialize(Archive& archive, FlowQueryReply& reply) { archive(reply.flow, reply.responder, reply.owner); }
-template <typename Archive> void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough); }
+template <typename Archive> void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough, move.moves); }
 
 template <typename Archive> void serialize(Archive& archive, FlowMoveReply& reply)
 {
-    archive(reply.flow, reply.responder);
+    archive(reply.flow, reply.responder, reply.moves);
     transferBool(archive, reply.isTaken);
 }
 
