--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -256,7 +256,7 @@
     this->lastTick = now;
 }
 
-std::string Agent::status(TimePoint now) const
+std::string Agent::status(TimePoint now, uint64_t droppedDatagrams) const
 {
     StatusView view { .role = "agent", .address = this->settings.address, .zone = this->settings.zone, .service = this->settings.service, .state = toString(this->peers.self().state), .revision = this->follower.revision(), .counters = &this->count };
     view.revisionAge = now - this->follower.inForceSince();
@@ -266,6 +266,7 @@
         { "queued", this->requests.queued() },
         { "limit", this->requests.admission().limit() },
         { "slots", this->requests.admission().maximum() },
+        { "datagrams_dropped", droppedDatagrams },
         { "peers", this->peers.others().size() },
         { "last_packet_age_ms", this->lastPacket == TimePoint {} ? 0 : static_cast<uint64_t>(toMilliseconds(now - this->lastPacket)) },
         { "latency_mean_us", static_cast<uint64_t>(std::llround(this->requests.meanLatency() * 1000)) },
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -67,7 +67,7 @@
     /** Says farewell to the balancers; the last thing before the process ends. */
     void leave(TimePoint now, Actions& actions) { this->peers.leave(now, this->follower.revision(), actions); }
 
-    std::string status(TimePoint now) const;
+    std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
     const Counters& counters() const { return this->count; }
     const FlowTable& flowTable() const { return this->flows; }
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -235,7 +235,7 @@
     }
     const absl::StatusOr<Exchange> exchange = decodeExchange(packet.payload);
     if (!exchange.ok()) {
-        this->count.add(Counter::DatagramsMalformed);
+        this->count.add(Counter::PayloadsMalformed);
         return;
     }
     if (const auto* part = std::get_if<RequestPart>(&*exchange)) {
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -129,7 +129,7 @@
 
 absl::Status Balancer::onConfiguration(TimePoint now, Revision revision, std::string_view rules)
 {
-    const absl::Status status = this->follower.offer(now, revision, rules);
+    absl::Status status = this->follower.offer(now, revision, rules);
     if (status.ok()) {
         this->count.add(Counter::ConfigurationsAccepted);
         this->refreshTables(now);
@@ -242,13 +242,14 @@
     return better < watchersPerZone;
 }
 
-std::string Balancer::status(TimePoint now) const
+std::string Balancer::status(TimePoint now, uint64_t droppedDatagrams) const
 {
     StatusView view { .role = "balancer", .address = this->settings.address, .zone = this->settings.zone, .revision = this->follower.revision(), .counters = &this->count };
     view.revisionAge = now - this->follower.inForceSince();
     view.numbers = {
         { "balancers", this->members.balancers("").size() + 1 },
         { "members", this->members.table().all().size() },
+        { "datagrams_dropped", droppedDatagrams },
         { "watcher", this->isWatcher() ? 1U : 0U },
     };
     return formatStatus(view);
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -52,7 +52,7 @@
     bool isWatcher() const;
 
     /** State of the process as JSON. */
-    std::string status(TimePoint now) const;
+    std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
     const ConfigurationFollower& configuration() const { return this->follower; }
     const GossipSystem& gossip() const { return this->members; }
--- a/src/config/follower.cpp
+++ b/src/config/follower.cpp
@@ -4,7 +4,6 @@
 #include "config/rule_func.h"
 #include "core/text_func.h"
 
-
 namespace lavender {
 
 absl::Status ConfigurationFollower::offer(TimePoint now, Revision revision, std::string_view rules)
--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -2,9 +2,8 @@
 #include "config/rule_func.h"
 
 #include "core/hash_func.h"
-#include "wire/message_type.h"
 #include "core/text_func.h"
-
+#include "wire/message_type.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -4,7 +4,6 @@
 #include "core/hash_func.h"
 #include "core/text_func.h"
 
-
 #include <vector>
 
 namespace lavender {
--- a/src/core/address_type.h
+++ b/src/core/address_type.h
@@ -43,10 +43,12 @@
 
 } // namespace lavender
 
-template <> struct std::hash<lavender::Address> {
+template <>
+struct std::hash<lavender::Address> {
     size_t operator()(lavender::Address address) const noexcept { return address.packed() * 0x9E3779B97F4A7C15U; }
 };
 
-template <> struct std::hash<lavender::FlowKey> {
+template <>
+struct std::hash<lavender::FlowKey> {
     size_t operator()(const lavender::FlowKey& flow) const noexcept;
 };
--- a/src/core/strong_type.h
+++ b/src/core/strong_type.h
@@ -13,7 +13,8 @@
  * @tparam Tag Any type; it only tells kinds apart.
  * @tparam Base Unsigned integer that holds the value.
  */
-template <typename Tag, typename Base = uint32_t> struct StrongId {
+template <typename Tag, typename Base = uint32_t>
+struct StrongId {
     using BaseType = Base;
     static constexpr Base invalidValue = std::numeric_limits<Base>::max();
 
@@ -33,6 +34,7 @@
 
 } // namespace lavender
 
-template <typename Tag, typename Base> struct std::hash<lavender::StrongId<Tag, Base>> {
+template <typename Tag, typename Base>
+struct std::hash<lavender::StrongId<Tag, Base>> {
     size_t operator()(lavender::StrongId<Tag, Base> id) const noexcept { return std::hash<Base> {}(id.value); }
 };
--- a/src/core/text_func.h
+++ b/src/core/text_func.h
@@ -12,13 +12,15 @@
 namespace lavender {
 
 /** Appends each argument as fmt writes it. */
-template <typename... Args> void appendText(std::string& text, const Args&... args)
+template <typename... Args>
+void appendText(std::string& text, const Args&... args)
 {
     (fmt::format_to(std::back_inserter(text), "{}", args), ...);
 }
 
 /** All arguments as one text. */
-template <typename... Args> std::string concat(const Args&... args)
+template <typename... Args>
+std::string concat(const Args&... args)
 {
     std::string text;
     appendText(text, args...);
@@ -26,7 +28,8 @@
 }
 
 /** Reads a whole number that takes up all of @p text. @return False where it does not. */
-template <typename Number> bool parseNumber(std::string_view text, Number& number)
+template <typename Number>
+bool parseNumber(std::string_view text, Number& number)
 {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     return error == std::errc() && end == text.data() + text.size();
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -1,10 +1,10 @@
 /** @file ctl_main.cpp lavenderctl: the operators' command. */
 #include "config/rule_func.h"
 #include "core/text_func.h"
-#include "store/commit.h"
 #include "daemon/process_base.h"
 #include "daemon/program_func.h"
 #include "settings/setting_func.h"
+#include "store/commit.h"
 #include "store/http_store.h"
 
 #include <boost/program_options.hpp>
--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -59,7 +59,7 @@
     protected:
         void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->agent.onMessage(now, message, actions); }
         void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) override { this->agent.onSnapshot(now, snapshot, actions); }
-        std::string status(TimePoint now) const override { return this->agent.status(now); }
+        std::string status(TimePoint now, uint64_t dropped) const override { return this->agent.status(now, dropped); }
 
         void onTick(TimePoint now, Actions& actions) override
         {
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -33,7 +33,7 @@
         void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->balancer.onMessage(now, message, actions); }
         void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& /*actions*/) override { this->balancer.onSnapshot(now, snapshot); }
         std::string openWork() const override { return ""; }
-        std::string status(TimePoint now) const override { return this->balancer.status(now); }
+        std::string status(TimePoint now, uint64_t dropped) const override { return this->balancer.status(now, dropped); }
         Snapshot makeSnapshot(const SnapshotAsk& ask) const override { return this->balancer.makeSnapshot(ask); }
 
         void onTick(TimePoint now, Actions& actions) override
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -151,17 +151,17 @@
 void Process::onDatagram(Address from, std::span<const uint8_t> bytes)
 {
     if (bytes.size() > maximumDatagramBytes) {
-        ++this->oversized;
+        ++this->dropped;
         return;
     }
     const absl::StatusOr<Message> message = this->encapsulation.decode(bytes);
     if (!message.ok()) {
-        ++this->malformed;
+        ++this->dropped;
         return;
     }
     const TimePoint moment = Process::now();
     if (const auto* ask = std::get_if<StatusAsk>(&*message)) {
-        this->sendMessage(from, StatusReply { ask->nonce, this->status(moment) });
+        this->sendMessage(from, StatusReply { ask->nonce, this->status(moment, this->dropped) });
         return;
     }
     Actions actions;
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -73,7 +73,8 @@
     virtual void onStop(TimePoint now, Actions& actions) = 0;
     /** What the second signal cuts; empty where nothing is. */
     virtual std::string openWork() const = 0;
-    virtual std::string status(TimePoint now) const = 0;
+    /** State of the process as JSON; @p dropped datagrams were too large or did not decode. */
+    virtual std::string status(TimePoint now, uint64_t dropped) const = 0;
     virtual Snapshot makeSnapshot(const SnapshotAsk& ask) const = 0;
     virtual void perform(const Action& action);
 
@@ -101,13 +102,8 @@
     std::unique_ptr<UdpSocket> udp;
     std::unique_ptr<SnapshotServer> snapshots;
     LoopTimer ticker;
-    uint64_t oversized = 0;
-    uint64_t malformed = 0;
+    uint64_t dropped = 0; ///< Datagrams that were too large or did not decode.
     ExitCode code = ExitCode::Done;
-
-protected:
-    /** Datagrams that did not decode, for status. */
-    uint64_t droppedDatagrams() const { return this->oversized + this->malformed; }
 };
 
 } // namespace lavender
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -63,8 +63,8 @@
     if (!this->members.merge(now, record)) {
         return false;
     }
-    const int fleet = static_cast<int>(this->members.all().size());
-    this->spreading[record.address].remaining = spreadFactor * (std::bit_width(static_cast<unsigned>(fleet)) + 1);
+    const auto doublings = static_cast<int>(std::bit_width(this->members.all().size()));
+    this->spreading[record.address].remaining = spreadFactor * (doublings + 1);
     if (record.liveness == Liveness::Gone) {
         this->counters.add(Counter::MembersGone);
         this->heartbeats.erase(record.address);
@@ -242,7 +242,8 @@
     for (Address balancer : everyone) {
         byZone[this->members.find(balancer)->record.zone].push_back(balancer);
     }
-    for (const auto& [address, member] : this->members.all()) {
+    for (const auto& [known, member] : this->members.all()) {
+        const Address address = known;
         if (member.record.role != MemberRole::Agent || member.record.liveness != Liveness::Alive || this->heartbeats.contains(address)) {
             continue;
         }
--- a/src/replay/fake_store.cpp
+++ b/src/replay/fake_store.cpp
@@ -9,7 +9,8 @@
 
 } // namespace
 
-template <typename Result> void FakeStore::call(std::function<absl::StatusOr<Result>()> perform, Done<Result> done, bool mayLoseAnswer)
+template <typename Result>
+void FakeStore::call(std::function<absl::StatusOr<Result>()> perform, Done<Result> done, bool mayLoseAnswer)
 {
     const auto fail = [this, done] { this->queue.scheduleIn(callTimeout, [done] { done(absl::UnavailableError("store: no answer")); }); };
     this->queue.scheduleIn(this->latency / 2, [this, perform = std::move(perform), done, fail, mayLoseAnswer] {
--- a/src/replay/fake_store.h
+++ b/src/replay/fake_store.h
@@ -53,7 +53,8 @@
     };
 
     /** Carries a call out after half the latency and answers after the other half. */
-    template <typename Result> void call(std::function<absl::StatusOr<Result>()> perform, Done<Result> done, bool mayLoseAnswer = false);
+    template <typename Result>
+    void call(std::function<absl::StatusOr<Result>()> perform, Done<Result> done, bool mayLoseAnswer = false);
     void put(std::string_view key, std::string_view value, uint64_t lease);
     void dropExpired();
 
--- a/src/replay/node.cpp
+++ b/src/replay/node.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-BalancerNode::BalancerNode(std::string nodeName, Address nodeAddress, std::string nodeZone, std::string_view steering, uint64_t seed, std::vector<Address> configuredSeeds, EventQueue& queue, Carrier& carrier, Store& store)
+BalancerNode::BalancerNode(std::string nodeName, Address nodeAddress, const std::string& nodeZone, std::string_view steering, uint64_t seed, std::vector<Address> configuredSeeds, EventQueue& queue, Carrier& carrier, Store& store)
     : ReplayNode(std::move(nodeName), nodeAddress, nodeZone, queue, carrier)
     , random(seed)
     , balancer({ nodeAddress, nodeZone, static_cast<uint64_t>(toMilliseconds(queue.now())) + 1 }, makeSteering(steering), random)
--- a/src/replay/node.h
+++ b/src/replay/node.h
@@ -65,7 +65,7 @@
 /** A balancer with the store's fake behind it. */
 class BalancerNode final : public ReplayNode, public StoreFollower::Listener, public SeedFinder::Listener {
 public:
-    BalancerNode(std::string nodeName, Address nodeAddress, std::string nodeZone, std::string_view steering, uint64_t seed, std::vector<Address> configuredSeeds, EventQueue& queue, Carrier& carrier, Store& store);
+    BalancerNode(std::string nodeName, Address nodeAddress, const std::string& nodeZone, std::string_view steering, uint64_t seed, std::vector<Address> configuredSeeds, EventQueue& queue, Carrier& carrier, Store& store);
 
     void onMessage(const Message& message) override;
     void onSnapshot(const Snapshot& snapshot) override { this->balancer.onSnapshot(this->queue.now(), snapshot); }
--- a/src/replay/replay_main.cpp
+++ b/src/replay/replay_main.cpp
@@ -26,7 +26,7 @@
         static const std::map<std::string, ReplayPolicy> table {
             { "product", { "product", true } },
             { "naive", { "naive", false } },
-            { "hash", { "product", false } },
+            { "hash", { "hash", false } },
         };
         return table;
     }
@@ -98,7 +98,7 @@
     uint64_t seed = 1;
     bool isJson = false;
     options::options_description visible("Usage: lavender-replay TRACE [OPTIONS]\n\nOptions");
-    visible.add_options()("help", "print this text")("version", "print the version")("seed", options::value(&seed)->default_value(1), "seed of all chance")("policy", options::value(&policy)->default_value("product"), "product, naive (modulo, no chaining) or hash (the product's buckets, no chaining)")("watch", options::value(&watched), "print every message about this flow, as 10.0.0.1:1234>10.20.0.1:80, to standard error")("json", options::bool_switch(&isJson), "print JSON");
+    visible.add_options()("help", "print this text")("version", "print the version")("seed", options::value(&seed)->default_value(1), "seed of all chance")("policy", options::value(&policy)->default_value("product"), "product, naive (modulo, no chaining) or hash (consistent hashing, no chaining)")("watch", options::value(&watched), "print every message about this flow, as 10.0.0.1:1234>10.20.0.1:80, to standard error")("json", options::bool_switch(&isJson), "print JSON");
     options::options_description all;
     all.add(visible).add_options()("trace", options::value(&path));
     options::positional_options_description positions;
--- a/src/replay/world.cpp
+++ b/src/replay/world.cpp
@@ -178,6 +178,9 @@
     }
     this->carry(sender->zone, target->zone, forwarded == nullptr, this->faults.delay, [this, to, arrived = *decoded] {
         ReplayNode* receiver = this->findNode(to);
+        if (receiver == nullptr) {
+            return;
+        }
         if (const auto* agent = dynamic_cast<const AgentNode*>(receiver); agent != nullptr && std::holds_alternative<ForwardedPacket>(arrived)) {
             this->notePacketInto(*agent);
         }
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -1,8 +1,8 @@
 /** @file setting.cpp Flattens a JSON file and checks each value against its description. */
 #include "settings/setting_func.h"
 
-#include "wire/message_type.h"
 #include "core/text_func.h"
+#include "wire/message_type.h"
 
 #include <nlohmann/json.hpp>
 
@@ -79,7 +79,8 @@
     }
 
     /** Visits every leaf: a value that is no object. */
-    template <typename Visitor> void visitLeaves(const Json& json, const std::string& path, const Visitor& visit)
+    template <typename Visitor>
+    void visitLeaves(const Json& json, const std::string& path, const Visitor& visit)
     {
         if (!json.is_object()) {
             visit(path, json);
--- a/src/steer/steering.cpp
+++ b/src/steer/steering.cpp
@@ -41,6 +41,9 @@
 void RendezvousSteering::update(TimePoint now, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records)
 {
     std::vector<BucketMember> members = bucketMembers(records, service, configuration);
+    if (this->isPlain) {
+        std::for_each(members.begin(), members.end(), [](BucketMember& member) { member.weight = 1; });
+    }
     const auto [found, isNew] = this->services.try_emplace(service.nameHash);
     Entry& entry = found->second;
     if (!isNew && sameMembers(entry.members, members)) {
@@ -70,6 +73,11 @@
     if (choice.home == BucketChoice::none && forwarded.packet.mark == PacketMark::Opening) {
         return false;
     }
+    if (this->isPlain) {
+        forwarded.home = choice.home == BucketChoice::none ? members[choice.ranked[0]].address : members[choice.home].address;
+        forwarded.candidates = { forwarded.home };
+        return true;
+    }
     if (choice.home != BucketChoice::none) {
         forwarded.home = members[choice.home].address;
         const uint16_t previous = previousHome(choice);
@@ -126,6 +134,9 @@
     if (name == "naive") {
         return std::make_unique<ModuloSteering>();
     }
+    if (name == "hash") {
+        return std::make_unique<RendezvousSteering>(true);
+    }
     return nullptr;
 }
 
--- a/src/steer/steering_base.h
+++ b/src/steer/steering_base.h
@@ -36,6 +36,13 @@
 /** The product's: rendezvous buckets, earlier owners behind the present ones. */
 class RendezvousSteering final : public Steering {
 public:
+    RendezvousSteering() = default;
+    /** @param isPlain Consistent hashing alone: the home is the only candidate. For comparisons. */
+    explicit RendezvousSteering(bool isPlain)
+        : isPlain(isPlain)
+    {
+    }
+
     void update(TimePoint now, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records) override;
     void retain(const Configuration& configuration) override;
     bool route(TimePoint now, const ServiceRule& service, ForwardedPacket& forwarded) const override;
@@ -47,6 +54,7 @@
         TimePoint changed {};
     };
     std::unordered_map<uint64_t, Entry> services; ///< By ServiceRule::nameHash.
+    bool isPlain = false;
 };
 
 /** Naive: the flow's hash modulo the number of eligible agents, no second candidate. */
@@ -60,7 +68,7 @@
     std::unordered_map<uint64_t, std::vector<Address>> services;
 };
 
-/** A steering by its name: "product" or "naive"; none for another name. */
+/** A steering by its name: "product", "naive" or "hash"; none for another name. */
 std::unique_ptr<Steering> makeSteering(std::string_view name);
 
 } // namespace lavender
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -12,6 +12,7 @@
     constexpr Duration retryFloor = 250ms;
     constexpr Duration retryCeiling = 20s;
     constexpr int maximumDoublings = 8;
+    constexpr Duration emptyReadPeriod = 5s; ///< About the time between two reads while the store has no rules.
     constexpr Duration seedPeriod = 20s;
     constexpr Duration aloneSeedPeriod = 1s;
 
@@ -116,9 +117,8 @@
         if (value.ok() && value->has_value()) {
             this->takeValue(**value);
         }
-        const bool isSettled = value.ok() && this->listener.hasRules();
-        const Duration period = this->settings.readPeriod;
-        this->readDue = this->clock.now() + (isSettled ? period / 2 + this->random.jitter(period) : storeBackoff(this->random, this->readFailures));
+        const Duration period = this->listener.hasRules() ? this->settings.readPeriod : emptyReadPeriod;
+        this->readDue = this->clock.now() + (value.ok() ? period / 2 + this->random.jitter(period) : storeBackoff(this->random, this->readFailures));
     });
 }
 
@@ -174,8 +174,7 @@
     this->store.watch(
         rulesKey, [this](const StoreValue& value) { this->takeValue(value); }, [this](const absl::Status& /*status*/) {
             this->isWatching = false;
-            this->watchDue = this->clock.now() + storeBackoff(this->random, ++this->watchFailures);
-        });
+            this->watchDue = this->clock.now() + storeBackoff(this->random, ++this->watchFailures); });
     // What was written before the watch stood is not seen by it.
     this->store.read(rulesKey, [this](const absl::StatusOr<std::optional<StoreValue>>& value) {
         if (value.ok()) {
--- a/src/store/store_base.h
+++ b/src/store/store_base.h
@@ -36,7 +36,8 @@
 public:
     virtual ~Store() = default;
 
-    template <typename Result> using Done = std::function<void(absl::StatusOr<Result>)>;
+    template <typename Result>
+    using Done = std::function<void(absl::StatusOr<Result>)>;
 
     /** Reads one key; none where it does not exist. */
     virtual void read(std::string_view key, Done<std::optional<StoreValue>> done) = 0;
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -23,7 +23,7 @@
         SettingDescription { "/store/lease_s", SettingKind::Number, "60", false, 5, 3600, "", "Lifetime of the lease under which this balancer is listed; renewed after a third of it" },
         SettingDescription { "/store/read_s", SettingKind::Number, "30", false, 1, 3600, "", "A balancer that does not watch the store reads the rules about this often" },
         seedsSetting,
-        SettingDescription { "/steering", SettingKind::Choice, "product", false, 0, 0, "product|naive", "How flows are spread; naive is for comparisons" },
+        SettingDescription { "/steering", SettingKind::Choice, "product", false, 0, 0, "product|naive|hash", "How flows are spread; naive and hash are for comparisons" },
         SettingDescription { "/stop/linger_ms", SettingKind::Number, "2000", false, 0, 600'000, "", "After the signal to stop, packets are still forwarded for this time" },
         logFormatSetting,
         logLevelSetting,
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,12 +1,11 @@
 /** @file codec.cpp Messages by cereal's portable binary archive, behind two bytes: version and kind. */
 #include "wire/codec_func.h"
 
-#include "wire/serialize_func.h"
 #include "core/text_func.h"
+#include "wire/serialize_func.h"
 
 #include <cereal/archives/portable_binary.hpp>
 
-
 #include <exception>
 #include <sstream>
 #include <streambuf>
@@ -16,6 +15,9 @@
 
 namespace {
 
+    constexpr size_t headBytes = 3; ///< Version, kind, and cereal's mark of the byte order.
+    constexpr uint8_t littleEndianMark = 1;
+
     /** Reads from a span without a copy. */
     class SpanBuffer final : public std::streambuf {
     public:
@@ -29,13 +31,14 @@
         bool isAtEnd() const { return this->gptr() == this->egptr(); }
     };
 
-    template <typename Variant> Bytes encodeVariant(const Variant& variant)
+    template <typename Variant>
+    Bytes encodeVariant(const Variant& variant)
     {
         std::ostringstream stream;
         stream.put(static_cast<char>(wireVersion));
         stream.put(static_cast<char>(variant.index()));
         {
-            cereal::PortableBinaryOutputArchive archive(stream);
+            cereal::PortableBinaryOutputArchive archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
             std::visit([&archive](const auto& value) { archive(value); }, variant);
         }
         const std::string_view text = stream.view();
@@ -43,7 +46,8 @@
     }
 
     /** Loads alternative number @p kind; false where there is none. */
-    template <typename Variant, size_t Index = 0> bool loadAlternative(cereal::PortableBinaryInputArchive& archive, size_t kind, Variant& variant)
+    template <typename Variant, size_t Index = 0>
+    bool loadAlternative(cereal::PortableBinaryInputArchive& archive, size_t kind, Variant& variant)
     {
         if constexpr (Index < std::variant_size_v<Variant>) {
             if (kind != Index) {
@@ -55,15 +59,19 @@
         return false;
     }
 
-    template <typename Variant> absl::StatusOr<Variant> decodeVariant(std::span<const uint8_t> bytes)
+    template <typename Variant>
+    absl::StatusOr<Variant> decodeVariant(std::span<const uint8_t> bytes)
     {
-        if (bytes.size() < 2) {
+        if (bytes.size() < headBytes) {
             return absl::InvalidArgumentError("message cut short");
         }
         if (bytes[0] != wireVersion) {
             return absl::InvalidArgumentError(concat("wire version ", bytes[0], ": expected ", wireVersion));
         }
-        SpanBuffer buffer(bytes.subspan(2));
+        if (bytes[headBytes - 1] != littleEndianMark) {
+            return absl::InvalidArgumentError(concat("byte order mark ", bytes[headBytes - 1], ": expected ", littleEndianMark));
+        }
+        SpanBuffer buffer(bytes.subspan(headBytes - 1));
         std::istream stream(&buffer);
         Variant variant;
         try {
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -11,14 +11,15 @@
 namespace lavender {
 
 /** Transfers a list with its length in 32 bits; a length over @p limit is refused before memory is taken. */
-template <typename Archive, typename List> void transferList(Archive& archive, List& list, size_t limit)
+template <typename Archive, typename List>
+void transferList(Archive& archive, List& list, size_t limit)
 {
     auto count = static_cast<uint32_t>(list.size());
     archive(count);
-    if (count > limit) {
-        throw cereal::Exception("list too long");
-    }
     if constexpr (Archive::is_loading::value) {
+        if (count > limit) {
+            throw cereal::Exception("list too long");
+        }
         list.resize(count);
     }
     if constexpr (sizeof(typename List::value_type) == 1) {
@@ -31,18 +32,20 @@
 }
 
 /** Transfers an enumeration; a value over @p last is refused. */
-template <typename Archive, typename Enum> void transferEnum(Archive& archive, Enum& value, Enum last)
+template <typename Archive, typename Enum>
+void transferEnum(Archive& archive, Enum& value, Enum last)
 {
     auto number = static_cast<uint8_t>(value);
     archive(number);
-    if (number > static_cast<uint8_t>(last)) {
+    if (Archive::is_loading::value && number > static_cast<uint8_t>(last)) {
         throw cereal::Exception("enumeration out of range");
     }
     value = static_cast<Enum>(number);
 }
 
 /** Transfers a truth value as one byte that is 0 or 1. */
-template <typename Archive> void transferBool(Archive& archive, bool& value)
+template <typename Archive>
+void transferBool(Archive& archive, bool& value)
 {
     uint8_t number = value ? 1 : 0;
     archive(number);
@@ -52,10 +55,22 @@
     value = number == 1;
 }
 
-template <typename Archive> void serialize(Archive& archive, Address& address) { archive(address.host, address.port); }
-template <typename Archive> void serialize(Archive& archive, FlowKey& flow) { archive(flow.caller, flow.service); }
+/** Refuses a part number that was read and cannot be. */
+template <typename Archive>
+void checkPart(const Archive& /*archive*/, uint16_t part, uint16_t parts)
+{
+    if (Archive::is_loading::value && (parts > maximumParts || part >= parts)) {
+        throw cereal::Exception("part number out of range");
+    }
+}
 
-template <typename Archive> void serialize(Archive& archive, MemberRecord& record)
+template <typename Archive>
+void serialize(Archive& archive, Address& address) { archive(address.host, address.port); }
+template <typename Archive>
+void serialize(Archive& archive, FlowKey& flow) { archive(flow.caller, flow.service); }
+
+template <typename Archive>
+void serialize(Archive& archive, MemberRecord& record)
 {
     archive(record.address);
     transferEnum(archive, record.role, MemberRole::Agent);
@@ -67,7 +82,8 @@
     archive(record.slots, record.weight);
 }
 
-template <typename Archive> void serialize(Archive& archive, FlowPacket& packet)
+template <typename Archive>
+void serialize(Archive& archive, FlowPacket& packet)
 {
     archive(packet.flow);
     transferEnum(archive, packet.mark, PacketMark::Closing);
@@ -75,7 +91,8 @@
     transferList(archive, packet.payload, maximumPayloadBytes);
 }
 
-template <typename Archive> void serialize(Archive& archive, ForwardedPacket& forwarded)
+template <typename Archive>
+void serialize(Archive& archive, ForwardedPacket& forwarded)
 {
     archive(forwarded.packet, forwarded.service);
     transferList(archive, forwarded.candidates, maximumCandidates);
@@ -84,27 +101,34 @@
     archive(forwarded.home);
 }
 
-template <typename Archive> void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
-template <typename Archive> void serialize(Archive& archive, FlowQueryReply& reply) { archive(reply.flow, reply.responder, reply.owner); }
-template <typename Archive> void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough, move.moves); }
+template <typename Archive>
+void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
+template <typename Archive>
+void serialize(Archive& archive, FlowQueryReply& reply) { archive(reply.flow, reply.responder, reply.owner); }
+template <typename Archive>
+void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough, move.moves); }
 
-template <typename Archive> void serialize(Archive& archive, FlowMoveReply& reply)
+template <typename Archive>
+void serialize(Archive& archive, FlowMoveReply& reply)
 {
     archive(reply.flow, reply.responder, reply.moves);
     transferBool(archive, reply.isTaken);
 }
 
-template <typename Archive> void serialize(Archive& archive, LoadNews& news)
+template <typename Archive>
+void serialize(Archive& archive, LoadNews& news)
 {
     archive(news.service, news.agent, news.openFlows, news.inFlight, news.limit);
 }
 
-template <typename Archive> void serialize(Archive& archive, Announce& announce)
+template <typename Archive>
+void serialize(Archive& archive, Announce& announce)
 {
     archive(announce.record, announce.revision, announce.peersDigest);
 }
 
-template <typename Archive> void serialize(Archive& archive, AnnounceReply& reply)
+template <typename Archive>
+void serialize(Archive& archive, AnnounceReply& reply)
 {
     archive(reply.balancer, reply.revision);
     transferList(archive, reply.peers, maximumRecordsPerDatagram);
@@ -114,7 +138,8 @@
     transferBool(archive, reply.isNudge);
 }
 
-template <typename Archive> void serialize(Archive& archive, Gossip& gossip)
+template <typename Archive>
+void serialize(Archive& archive, Gossip& gossip)
 {
     archive(gossip.sender, gossip.sequence);
     transferBool(archive, gossip.isReply);
@@ -122,7 +147,8 @@
     transferList(archive, gossip.records, maximumRecordsPerDatagram);
 }
 
-template <typename Archive> void serialize(Archive& archive, DigestExchange& exchange)
+template <typename Archive>
+void serialize(Archive& archive, DigestExchange& exchange)
 {
     archive(exchange.sender);
     transferBool(archive, exchange.isReply);
@@ -130,54 +156,58 @@
     transferList(archive, exchange.records, maximumRecordsPerDatagram);
 }
 
-template <typename Archive> void serialize(Archive& archive, StatusAsk& ask) { archive(ask.nonce); }
+template <typename Archive>
+void serialize(Archive& archive, StatusAsk& ask) { archive(ask.nonce); }
 
-template <typename Archive> void serialize(Archive& archive, StatusReply& reply)
+template <typename Archive>
+void serialize(Archive& archive, StatusReply& reply)
 {
     archive(reply.nonce);
     transferList(archive, reply.json, maximumDatagramBytes);
 }
 
-template <typename Archive> void serialize(Archive& archive, SnapshotAsk& ask) { archive(ask.have, ask.service); }
+template <typename Archive>
+void serialize(Archive& archive, SnapshotAsk& ask) { archive(ask.have, ask.service); }
 
-template <typename Archive> void serialize(Archive& archive, Snapshot& snapshot)
+template <typename Archive>
+void serialize(Archive& archive, Snapshot& snapshot)
 {
     archive(snapshot.revision);
     transferList(archive, snapshot.rules, maximumRulesBytes);
     transferList(archive, snapshot.members, maximumSnapshotRecords);
 }
 
-template <typename Archive> void serialize(Archive& archive, RequestPart& part)
+template <typename Archive>
+void serialize(Archive& archive, RequestPart& part)
 {
     archive(part.request, part.attempt, part.part, part.parts);
     transferBool(archive, part.isRepeatable);
     archive(part.remaining);
     transferList(archive, part.key, maximumKeyBytes);
     transferList(archive, part.body, maximumPartBytes);
-    if (part.parts == 0 || part.parts > maximumParts || part.part >= part.parts) {
-        throw cereal::Exception("part number out of range");
-    }
+    checkPart(archive, part.part, part.parts);
 }
 
-template <typename Archive> void serialize(Archive& archive, AnswerPart& part)
+template <typename Archive>
+void serialize(Archive& archive, AnswerPart& part)
 {
     archive(part.request, part.attempt, part.part, part.parts);
     transferEnum(archive, part.verdict, Verdict::MayHaveRun);
     transferEnum(archive, part.reason, lastVerdictReason);
     archive(part.retryAfter);
     transferList(archive, part.body, maximumPartBytes);
-    if (part.parts == 0 || part.parts > maximumParts || part.part >= part.parts) {
-        throw cereal::Exception("part number out of range");
-    }
+    checkPart(archive, part.part, part.parts);
 }
 
-template <typename Archive> void serialize(Archive& archive, AnswerAsk& ask)
+template <typename Archive>
+void serialize(Archive& archive, AnswerAsk& ask)
 {
     archive(ask.request);
     transferList(archive, ask.missing, maximumParts);
 }
 
-template <typename Archive> void serialize(Archive& archive, FlowNotice& notice)
+template <typename Archive>
+void serialize(Archive& archive, FlowNotice& notice)
 {
     transferEnum(archive, notice.event, FlowEvent::Closed);
     transferList(archive, notice.zone, maximumNameBytes);
--- /dev/null
+++ b/tests/agent_test.cpp
@@ -0,0 +1,280 @@
+/** @file agent_test.cpp Flows: opened once, found again, moved, given up. */
+#include "test_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+TEST_GROUP(Agent) {};
+
+namespace {
+
+std::vector<MemberRecord> readyAgents(uint32_t count)
+{
+    std::vector<MemberRecord> records;
+    for (uint32_t index = 0; index < count; ++index) {
+        records.push_back(agentRecord(index));
+    }
+    return records;
+}
+
+/** Opens a flow through a view and returns its owner. */
+Address openFlow(TestNetwork& network, const TestView& view, const FlowKey& flow)
+{
+    const ForwardedPacket forwarded = view.route(network.now, openingPacket(flow));
+    network.send(forwarded.candidates.front(), forwarded);
+    network.deliverAll();
+    const std::vector<Address> owners = network.owners(flow);
+    CHECK_EQUAL(1U, owners.size());
+    return owners.front();
+}
+
+void sendThrough(TestNetwork& network, const TestView& view, const FlowPacket& packet)
+{
+    const ForwardedPacket forwarded = view.route(network.now, packet);
+    network.send(forwarded.candidates.front(), forwarded);
+    network.deliverAll();
+}
+
+} // namespace
+
+TEST(Agent, RepeatedOpeningHasOneOwner)
+{
+    TestNetwork network(3);
+    const TestView view(0s, readyAgents(3));
+    openFlow(network, view, testFlow());
+    openFlow(network, view, testFlow());
+    CHECK_EQUAL(2U, network.notices(FlowEvent::Accepted));
+}
+
+TEST(Agent, PacketOfAnotherServiceIsDropped)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    ForwardedPacket forwarded = view.route(network.now, openingPacket(testFlow()));
+    forwarded.service = hashText("proofs");
+    network.send(forwarded.candidates.front(), forwarded);
+    network.deliverAll();
+    CHECK_TRUE(network.owners(testFlow()).empty());
+    CHECK_EQUAL(1U, network.find(forwarded.candidates.front())->counters().get(Counter::PacketsWrongService));
+}
+
+TEST(Agent, RequestRunsOnceHoweverOftenItComes)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    for (int copy = 0; copy < 3; ++copy) {
+        sendThrough(network, view, requestPacket(testFlow(), 1));
+    }
+    CHECK_EQUAL(1U, network.handOvers.size());
+    network.collect([&](Actions& actions) { network.find(owner)->onUpstreamResult(network.now, { network.handOvers[0].id, UpstreamOutcome::Answered, { 'y' } }, actions); });
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    CHECK_EQUAL(1U, network.handOvers.size());
+    const size_t answers = static_cast<size_t>(std::count_if(network.toCallers.begin(), network.toCallers.end(), [](const Exchange& exchange) { return std::holds_alternative<AnswerPart>(exchange); }));
+    CHECK_EQUAL(2U, answers);
+}
+
+TEST(Agent, FlowIsFoundAfterAnAgentJoins)
+{
+    // Every flow that the joiner's buckets take from their old homes must be found again.
+    for (uint16_t port = 4000; port < 4100; ++port) {
+        TestNetwork network(3);
+        const TestView before(0s, { agentRecord(0), agentRecord(1) });
+        const Address owner = openFlow(network, before, testFlow(port));
+        const TestView after(0s, readyAgents(3));
+        sendThrough(network, after, requestPacket(testFlow(port), 1));
+        CHECK_EQUAL(1U, network.handOvers.size());
+        CHECK_TRUE(network.owners(testFlow(port)) == std::vector<Address> { owner });
+    }
+}
+
+TEST(Agent, DrainingAgentHandsItsFlowsOver)
+{
+    TestNetwork network(3);
+    const TestView view(0s, readyAgents(3));
+    std::map<uint16_t, Address> owners;
+    for (uint16_t port = 4000; port < 4060; ++port) {
+        owners[port] = openFlow(network, view, testFlow(port));
+    }
+    Agent& leaving = *network.agents[0];
+    leaving.beginStop();
+    network.advance(1s);
+    CHECK_TRUE(leaving.isDrained());
+    const TestView after(0s, { agentRecord(1), agentRecord(2) });
+    for (uint16_t port = 4000; port < 4060; ++port) {
+        CHECK_EQUAL(1U, network.owners(testFlow(port)).size());
+        sendThrough(network, after, requestPacket(testFlow(port), 1));
+    }
+    CHECK_EQUAL(60U, network.handOvers.size() + network.agents[1]->requestSystem().queued() + network.agents[2]->requestSystem().queued());
+    CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+}
+
+TEST(Agent, DrainingAgentBeginsNoWork)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    Agent& leaving = *network.find(owner);
+    leaving.beginStop();
+    network.advance(50ms);
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    // The request runs at the other agent, or waits for the caller's repetition; never at the leaving one.
+    CHECK_EQUAL(0, leaving.requestSystem().inFlight());
+    network.advance(500ms);
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    CHECK_EQUAL(1U, network.handOvers.size());
+    CHECK_EQUAL(0, leaving.requestSystem().inFlight());
+}
+
+TEST(Agent, MovedRequestDoesNotRunAgain)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    network.collect([&](Actions& actions) { network.find(owner)->onUpstreamResult(network.now, { network.handOvers[0].id, UpstreamOutcome::Answered, {} }, actions); });
+    const FlowPacket confirm { .flow = testFlow(), .payload = encodeExchange(AnswerAsk { .request = 1 }) };
+    sendThrough(network, view, confirm);
+    network.find(owner)->beginStop();
+    network.advance(500ms);
+    CHECK_TRUE(network.owners(testFlow()) != std::vector<Address> { owner });
+    // A late copy of the request reaches the flow's next owner.
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    CHECK_EQUAL(1U, network.handOvers.size());
+}
+
+TEST(Agent, OldCopyOfAMoveIsNotTakenAgain)
+{
+    TestNetwork network(3);
+    Agent& target = *network.agents[1];
+    const FlowMove move { .service = hashText("orders"), .flow = testFlow(), .from = agentAddress(0), .finishedThrough = 3, .moves = 1 };
+    network.send(agentAddress(1), move);
+    network.deliverAll();
+    CHECK_EQUAL(1U, target.flowTable().size());
+    target.beginStop();
+    network.advance(1s);
+    CHECK_EQUAL(0U, target.flowTable().size());
+    network.send(agentAddress(1), move);
+    network.deliverAll();
+    CHECK_EQUAL(0U, target.flowTable().size());
+    CHECK_EQUAL(1U, network.owners(testFlow()).size());
+}
+
+TEST(Agent, StalePointerDoesNotRefuseAMove)
+{
+    // Seen in a rolling replacement: the receiver had pointed elsewhere before and said 'taken' without taking the flow.
+    TestNetwork network(3);
+    ForwardedPacket forwarded { .packet = openingPacket(testFlow()), .service = hashText("orders"), .candidates = { agentAddress(1), agentAddress(2) }, .home = agentAddress(2) };
+    network.send(agentAddress(1), forwarded);
+    network.deliverAll();
+    network.send(agentAddress(1), FlowMove { .service = hashText("orders"), .flow = testFlow(9), .from = agentAddress(0), .moves = 1 });
+    network.send(agentAddress(1), FlowMove { .service = hashText("orders"), .flow = testFlow(), .from = agentAddress(0), .moves = 1 });
+    network.deliverAll();
+    CHECK_EQUAL(2U, network.agents[1]->flowTable().size());
+}
+
+TEST(Agent, LostOnlyAfterEveryoneSaidNoTwice)
+{
+    TestNetwork network(3);
+    network.advance(6s);
+    const TestView view(0s, readyAgents(3));
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+    network.advance(400ms);
+    CHECK_EQUAL(1U, network.notices(FlowEvent::Lost));
+}
+
+TEST(Agent, NewAgentDoesNotSayLost)
+{
+    TestNetwork network(3);
+    const TestView view(0s, readyAgents(3));
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    network.advance(2s);
+    CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+}
+
+TEST(Agent, ZoneOutGivesFlowsUpAtOnceAndTellsTheirCallers)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    std::map<Address, int> held;
+    for (uint16_t port = 4000; port < 4020; ++port) {
+        ++held[openFlow(network, view, testFlow(port))];
+    }
+    const Address inZoneA = agentAddress(0);
+    const auto gone = static_cast<size_t>(held[inZoneA]);
+    CHECK_TRUE(gone > 0);
+    network.setRules(2, testRules("zone a out # operator\n"));
+    CHECK_EQUAL(gone, network.notices(FlowEvent::GivenUp));
+    CHECK_EQUAL(0U, network.find(inZoneA)->flowTable().size());
+    CHECK_EQUAL(20U - gone, network.agents[1]->flowTable().size());
+}
+
+TEST(Agent, ZoneOutSaysWhichRequestsMayHaveRun)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    network.toCallers.clear();
+    network.setRules(2, testRules("zone a out # operator\n"));
+    CHECK_EQUAL(1U, network.cancelled.size());
+    const auto notice = std::find_if(network.toCallers.begin(), network.toCallers.end(), [](const Exchange& exchange) { return std::holds_alternative<FlowNotice>(exchange); });
+    CHECK_TRUE(notice != network.toCallers.end());
+    CHECK_TRUE(std::get<FlowNotice>(*notice).mayHaveRun == std::vector<uint64_t> { 1 });
+}
+
+TEST(Agent, NoPacketIsPassedIntoAZoneThatIsOut)
+{
+    TestNetwork network(4);
+    network.setRules(2, testRules("zone b out # operator\n"));
+    const TestView stale(0s, readyAgents(4));
+    for (uint16_t port = 4000; port < 4100; ++port) {
+        ForwardedPacket forwarded = stale.route(network.now, openingPacket(testFlow(port)));
+        if (forwarded.candidates.front() != agentAddress(1)) {
+            network.send(forwarded.candidates.front(), forwarded);
+        }
+    }
+    while (!network.inFlight.empty()) {
+        const bool isPacket = std::holds_alternative<ForwardedPacket>(network.inFlight[0].message);
+        CHECK_FALSE(isPacket && network.inFlight[0].to == agentAddress(1));
+        network.deliver(0);
+    }
+}
+
+TEST(Agent, DeadUpstreamLosesNoFlows)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    for (int reading = 0; reading < 3; ++reading) {
+        network.find(owner)->onUpstreamHealth(network.now, { .isReachable = false });
+    }
+    network.advance(500ms);
+    CHECK_EQUAL(1U, network.owners(testFlow()).size());
+    CHECK_TRUE(network.owners(testFlow()).front() != owner);
+}
+
+TEST(Agent, LyingHealthIsNotBelievedWhileAnswersCome)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    network.collect([&](Actions& actions) { network.find(owner)->onUpstreamResult(network.now, { network.handOvers[0].id, UpstreamOutcome::Answered, {} }, actions); });
+    for (int reading = 0; reading < 5; ++reading) {
+        network.find(owner)->onUpstreamHealth(network.now, { .isReachable = false });
+    }
+    network.advance(500ms);
+    CHECK_TRUE(network.owners(testFlow()) == std::vector<Address> { owner });
+}
+
+TEST(Agent, HopsAreBounded)
+{
+    TestNetwork network(2);
+    ForwardedPacket forwarded { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { agentAddress(0), agentAddress(1) }, .hops = maximumHops };
+    network.send(agentAddress(0), forwarded);
+    network.deliverAll();
+    CHECK_EQUAL(1U, network.agents[0]->counters().get(Counter::PacketsHopLimit));
+}
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,102 @@
+/** @file codec_test.cpp What is written is read back; anything else is refused without harm. */
+#include "wire/codec_func.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+namespace {
+
+const MemberRecord record { .address = { 1, 2 }, .role = MemberRole::Agent, .zone = "a", .service = "orders", .incarnation = 7, .version = 3, .state = MemberState::Ready, .slots = 5, .weight = 500 };
+const FlowKey flow { { 10, 20 }, { 30, 40 } };
+
+std::vector<Message> everyMessage()
+{
+    const FlowPacket packet { flow, PacketMark::Opening, true, { 1, 2, 3 } };
+    return { packet, ForwardedPacket { packet, 9, { { 1, 2 }, { 3, 4 } }, 3, 2, true, { 5, 6 } }, FlowQuery { 1, flow, { 1, 2 } }, FlowQueryReply { flow, { 1, 2 }, { 3, 4 } },
+        FlowMove { 1, flow, { 1, 2 }, 99, 3 }, FlowMoveReply { flow, { 1, 2 }, 3, true }, LoadNews { 1, { 1, 2 }, 3, 4, 5 }, Announce { record, 3, 4 },
+        AnnounceReply { { 1, 2 }, 3, { record }, { { 5, 6 } }, 7, 8, Liveness::Suspect, true }, Gossip { { 1, 2 }, 3, true, 4, 5, { record, record } },
+        DigestExchange { { 1, 2 }, true, std::vector<uint64_t>(digestBuckets, 7), { record } }, StatusAsk { 1 }, StatusReply { 1, "{}" }, SnapshotAsk { 3, 4 }, Snapshot { 3, "rules", { record } } };
+}
+
+std::vector<Exchange> everyExchange()
+{
+    return { RequestPart { 1, 2, 3, 4, true, 5, "key", { 1 } }, AnswerPart { 1, 2, 3, 4, Verdict::MayHaveRun, VerdictReason::FlowLost, 5, { 1 } }, AnswerAsk { 1, { 2, 3 } }, FlowNotice { FlowEvent::GivenUp, "a", 5, { 6 } } };
+}
+
+} // namespace
+
+TEST_GROUP(Codec) {};
+
+TEST(Codec, EveryMessageIsReadBack)
+{
+    const std::vector<Message> messages = everyMessage();
+    CHECK_EQUAL(std::variant_size_v<Message>, messages.size());
+    for (const Message& message : messages) {
+        const absl::StatusOr<Message> read = decodeMessage(encodeMessage(message));
+        CHECK_TRUE(read.ok());
+        CHECK_TRUE(*read == message);
+    }
+    for (const Exchange& exchange : everyExchange()) {
+        const absl::StatusOr<Exchange> read = decodeExchange(encodeExchange(exchange));
+        CHECK_TRUE(read.ok());
+        CHECK_TRUE(*read == exchange);
+    }
+}
+
+TEST(Codec, EveryCutMessageIsRefused)
+{
+    for (const Message& message : everyMessage()) {
+        const Bytes bytes = encodeMessage(message);
+        for (size_t length = 0; length < bytes.size(); ++length) {
+            CHECK_FALSE(decodeMessage(std::span(bytes).first(length)).ok());
+        }
+        Bytes longer = bytes;
+        longer.push_back(0);
+        CHECK_FALSE(decodeMessage(longer).ok());
+    }
+}
+
+TEST(Codec, OtherVersionsAndKindsAreRefused)
+{
+    Bytes bytes = encodeMessage(StatusAsk { 1 });
+    bytes[0] = wireVersion + 1;
+    CHECK_FALSE(decodeMessage(bytes).ok());
+    bytes[0] = wireVersion;
+    bytes[1] = 200;
+    CHECK_FALSE(decodeMessage(bytes).ok());
+}
+
+TEST(Codec, OversizedListsAreRefused)
+{
+    CHECK_FALSE(decodeMessage(encodeMessage(FlowPacket { .flow = flow, .payload = Bytes(maximumPayloadBytes + 1) })).ok());
+    CHECK_FALSE(decodeMessage(encodeMessage(Gossip { .records = std::vector<MemberRecord>(maximumRecordsPerDatagram + 1) })).ok());
+    CHECK_FALSE(decodeExchange(encodeExchange(RequestPart { .part = 4, .parts = 4 })).ok());
+}
+
+TEST(Codec, AnyBytesAreReadOrRefused)
+{
+    CHECK_TRUE(rc::check("random bytes", [](Bytes bytes) {
+        if (!bytes.empty()) {
+            bytes[0] = wireVersion;
+        }
+        const absl::StatusOr<Message> message = decodeMessage(bytes);
+        // What is read is written as the same bytes again, or it was refused.
+        const bool isSame = !message.ok() || encodeMessage(*message) == bytes;
+        RC_ASSERT(isSame);
+    }));
+}
+
+TEST(Codec, ChangedMessagesAreReadOrRefused)
+{
+    CHECK_TRUE(rc::check("one byte changed", [] {
+        const std::vector<Message> messages = everyMessage();
+        Bytes bytes = encodeMessage(messages[*rc::gen::inRange<size_t>(0, messages.size())]);
+        bytes[*rc::gen::inRange<size_t>(0, bytes.size())] = *rc::gen::arbitrary<uint8_t>();
+        const absl::StatusOr<Message> message = decodeMessage(bytes);
+        const bool isReadAgain = !message.ok() || decodeMessage(encodeMessage(*message)).ok();
+        RC_ASSERT(isReadAgain);
+    }));
+}
--- /dev/null
+++ b/tests/follower_test.cpp
@@ -0,0 +1,144 @@
+/** @file follower_test.cpp Revisions only rise, and the store is asked within its rates. */
+#include "config/follower_base.h"
+#include "replay/fake_store.h"
+#include "store/follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+namespace {
+
+constexpr std::string_view rules = "service orders at 10.0.0.1:80 # ann\n";
+
+/** Counts what a follower reports. */
+struct Listener final : StoreFollower::Listener {
+    void onRules(Revision revision, std::string_view /*text*/) override { this->latest = std::max(this->latest, revision); }
+    void onStoreState(bool isUp) override { isUp ? ++this->ups : ++this->downs; }
+    void onLeaseLapsed() override { ++this->lapses; }
+    bool isWatcher() const override { return this->isWatching; }
+    bool hasRules() const override { return this->latest > 0; }
+
+    Revision latest = 0;
+    int ups = 0;
+    int downs = 0;
+    int lapses = 0;
+    bool isWatching = false;
+};
+
+/** A follower that ticks 20 times a second. */
+struct Desk {
+    EventQueue queue;
+    FakeStore store { queue };
+    SeededRandom random { 1 };
+    Listener listener;
+    StoreFollower follower { store, queue, random, { { 0x7f000001, 1 }, "a", 60s, 30s }, listener };
+
+    void advance(Duration span)
+    {
+        for (const TimePoint end = this->queue.now() + span; this->queue.now() < end;) {
+            this->queue.runUntil(this->queue.now() + 50ms);
+            this->follower.tick();
+        }
+    }
+
+    void write(std::string_view change)
+    {
+        Revision before = 0;
+        this->store.read(rulesKey, [&before](const absl::StatusOr<std::optional<StoreValue>>& value) { before = value->has_value() ? (*value)->revision : 0; });
+        this->queue.runUntil(this->queue.now() + 10ms);
+        this->store.compareAndSwap(rulesKey, before, formatEnvelope({ std::string(change), "ann", std::string(rules), {} }), [](const absl::StatusOr<SwapResult>&) {});
+        this->queue.runUntil(this->queue.now() + 10ms);
+    }
+};
+
+} // namespace
+
+TEST_GROUP(Follower) {};
+
+TEST(Follower, RevisionOnlyRises)
+{
+    ConfigurationFollower follower;
+    CHECK_TRUE(follower.offer(1s, 5, rules).ok());
+    CHECK_TRUE(absl::IsAlreadyExists(follower.offer(2s, 5, rules)));
+    CHECK_TRUE(absl::IsAlreadyExists(follower.offer(3s, 4, rules)));
+    CHECK_EQUAL(5U, follower.revision());
+    CHECK_TRUE(follower.inForceSince() == TimePoint(1s));
+}
+
+TEST(Follower, RulesThatDoNotParseStayOut)
+{
+    ConfigurationFollower follower;
+    CHECK_TRUE(follower.offer(1s, 5, rules).ok());
+    CHECK_TRUE(absl::IsInvalidArgument(follower.offer(2s, 6, "nonsense")));
+    CHECK_EQUAL(5U, follower.revision());
+}
+
+TEST(Follower, WatcherHearsOfAChangeWithinMilliseconds)
+{
+    Desk desk;
+    desk.listener.isWatching = true;
+    desk.write("c1");
+    desk.advance(2s);
+    const Revision before = desk.listener.latest;
+    desk.write("c2");
+    desk.queue.runUntil(desk.queue.now() + 10ms);
+    CHECK_TRUE(desk.listener.latest > before);
+}
+
+TEST(Follower, WatchComesBackAfterAnOutage)
+{
+    Desk desk;
+    desk.listener.isWatching = true;
+    desk.write("c1");
+    desk.advance(2s);
+    desk.store.setDown(true);
+    desk.advance(60s);
+    desk.store.setDown(false);
+    desk.advance(60s);
+    CHECK_EQUAL(1, desk.listener.downs);
+    CHECK_EQUAL(1, desk.listener.ups);
+    const Revision before = desk.listener.latest;
+    desk.write("c2");
+    desk.queue.runUntil(desk.queue.now() + 10ms);
+    CHECK_TRUE(desk.listener.latest > before);
+}
+
+TEST(Follower, LapsedLeaseIsTakenAnew)
+{
+    Desk desk;
+    desk.advance(5s);
+    desk.queue.runUntil(desk.queue.now() + 90s); // The process stands still.
+    desk.advance(5s);
+    CHECK_EQUAL(1, desk.listener.lapses);
+    size_t listed = 0;
+    desk.store.list(balancersPrefix, [&listed](const absl::StatusOr<std::vector<StoreValue>>& values) { listed = values->size(); });
+    desk.advance(1s);
+    CHECK_EQUAL(1U, listed);
+}
+
+TEST(Follower, SteadyCallsStayWithinTheBudget)
+{
+    Desk desk;
+    desk.write("c1");
+    desk.advance(60s);
+    const uint64_t reads = desk.store.reads;
+    const uint64_t writes = desk.store.writes;
+    desk.advance(600s);
+    // 1,800 balancers share 1,000 reads and 200 writes a second: 333 reads and 66 writes each in 600 s.
+    CHECK_TRUE(desk.store.reads - reads <= 333);
+    CHECK_TRUE(desk.store.writes - writes <= 66);
+}
+
+TEST(Follower, ReturnOfTheStoreIsNotAStampede)
+{
+    Desk desk;
+    desk.advance(5s);
+    desk.store.setDown(true);
+    desk.advance(300s);
+    const uint64_t calls = desk.store.reads + desk.store.writes;
+    desk.store.setDown(false);
+    desk.advance(60s);
+    // 1,800 balancers may make 1,200 calls a second, so each 40 in the first minute.
+    CHECK_TRUE(desk.store.reads + desk.store.writes - calls <= 40);
+}
--- /dev/null
+++ b/tests/program_test.py
@@ -0,0 +1,102 @@
+"""The programs as an operator meets them: command lines, settings, exit codes, the install tree, the pages."""
+
+import json
+import subprocess
+from pathlib import Path
+
+from fleet import free_ports
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+def run(*command, **options):
+    return subprocess.run([str(part) for part in command], capture_output=True, text=True, timeout=120, check=False, **options)
+
+
+def test_help_and_version(build, folder):
+    for name in ("lavender-balancer", "lavender-agent", "lavenderctl", "lavender-replay"):
+        program = build / "src" / name
+        assert run(program, "--help").returncode == 0
+        assert "xit codes" in run(program, "--help").stdout
+        assert run(program, "--version").stdout.startswith(name)
+        assert run(program, "--nonsense").returncode == 2
+
+
+def test_check_config_reports_every_fault(build, folder):
+    path = folder / "agent.json"
+    path.write_text('{"listen": "127.0.0.1:0", "zone": "A", "servce": "orders"}')
+    result = run(build / "src" / "lavender-agent", "--config", path, "--check-config")
+    assert result.returncode == 2
+    for fault in ('/listen: "127.0.0.1:0": expected', '/zone: "A": expected', "/servce: unknown setting: did you mean /service?", "/return: missing"):
+        assert f"{path}: {fault}" in result.stderr, result.stderr
+    path.write_text('{"listen": "127.0.0.1:7000", "zone": "a", "service": "orders", "upstream": {"url": "http://127.0.0.1:8000"}, "return": "127.0.0.1:9000"}')
+    assert run(build / "src" / "lavender-agent", "--config", path, "--check-config").returncode == 0
+
+
+def test_address_in_use(build, folder):
+    port = free_ports(1)[0]
+    path = folder / "balancer.json"
+    path.write_text(json.dumps({"listen": f"127.0.0.1:{port}", "zone": "a", "log": {"format": "json"}}))
+    command = [str(build / "src" / "lavender-balancer"), "--config", str(path)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as first:
+        line = first.stderr.readline()
+        assert json.loads(line)["message"].startswith("started"), line
+        second = run(*command)
+        assert second.returncode == 3 and "listen-failed" in second.stderr, second.stderr
+        first.terminate()
+        assert first.wait(10) == 0
+
+
+def test_ctl_check(build, folder):
+    ctl = build / "src" / "lavenderctl"
+    good = "service orders at 10.0.0.1:80 # ann\nannounce orders in a # ann\n"
+    assert run(ctl, "check", "-", input=good).returncode == 0
+    bad = run(ctl, "check", "-", input="service orders at 10.0.0.1:80\n")
+    assert bad.returncode == 1 and bad.stderr.startswith("-:1:30: no comment"), bad.stderr
+    faults = json.loads(run(ctl, "check", "-", "--json", input="zone a away # x\n").stdout)["faults"]
+    assert faults == [{"line": 1, "column": 8, "text": '"away": expected "in" or "out"'}], faults
+
+
+def test_ctl_command_line(build, folder):
+    ctl = build / "src" / "lavenderctl"
+    for words in (["frobnicate"], ["check"], ["zone", "out", "a"], ["zone", "up", "a", "--store", "http://127.0.0.1:1", "--who", "x"], ["status", "nonsense"]):
+        assert run(ctl, *words).returncode == 2, words
+    port = free_ports(1)[0]
+    assert run(ctl, "show", "--store", f"http://127.0.0.1:{port}").returncode == 3
+    assert run(ctl, "status", f"127.0.0.1:{port}").returncode == 3
+
+
+def test_settings_page_is_up_to_date(build, folder):
+    printed = run(build / "src" / "lavenderctl", "settings").stdout
+    assert printed == (ROOT / "docs" / "SETTINGS.md").read_text(), "run: lavenderctl settings > docs/SETTINGS.md"
+
+
+def test_replay_exit_codes_and_same_bytes(build, folder):
+    replay = build / "src" / "lavender-replay"
+    trace = ROOT / "traces" / "krojac-zone.jsonl"
+    first, second = (run(replay, trace, "--seed", 4, "--json") for _ in range(2))
+    assert first.returncode == 0 and first.stdout == second.stdout
+    failing = folder / "failing.jsonl"
+    failing.write_text(trace.read_text() + '{"expect": "broken_flows", "at_least": 1}\n')
+    result = run(replay, failing)
+    assert result.returncode == 1 and "FAILED line" in result.stdout, result.stdout
+    naive = run(replay, ROOT / "traces" / "wrekin-upstreams.jsonl", "--policy", "naive")
+    assert naive.returncode == 1 and "ms: 10.0.0.1:" in naive.stdout, naive.stdout
+    failing.write_text("nonsense\n")
+    bad = run(replay, failing)
+    assert bad.returncode == 2 and "line 1: not a JSON object" in bad.stderr, bad.stderr
+
+
+def test_example_embeds_the_install_tree(build, folder):
+    prefix = folder / "prefix"
+    assert run("cmake", "--install", build, "--prefix", prefix).returncode == 0
+    flags = [f"-DCMAKE_PREFIX_PATH={prefix}"]
+    if "sanitize" in build.name:
+        flags.append("-DCMAKE_CXX_FLAGS=-fsanitize=address,undefined")
+    configured = run("cmake", "-S", ROOT / "examples", "-B", folder / "example", *flags)
+    assert configured.returncode == 0, configured.stderr
+    built = run("cmake", "--build", folder / "example")
+    assert built.returncode == 0, built.stdout + built.stderr
+    example = run(folder / "example" / "embed-bucket-table")
+    assert example.returncode == 0 and "buckets" in example.stdout
+    assert (prefix / "lib").exists() and list(prefix.rglob("lavender.pc"))
--- /dev/null
+++ b/tests/replay_test.cpp
@@ -0,0 +1,80 @@
+/** @file replay_test.cpp The recorded traces hold their outcomes, and a replay is the same each time. */
+#include "core/text_func.h"
+#include "replay/figure_func.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+namespace {
+
+Trace loadTrace(const std::filesystem::path& path)
+{
+    std::ifstream file(path);
+    const std::string text { std::istreambuf_iterator<char>(file), {} };
+    const absl::StatusOr<Trace> trace = parseTrace(text);
+    CHECK_TRUE(trace.ok());
+    return *trace;
+}
+
+Figures replay(const Trace& trace, uint64_t seed, const ReplayPolicy& policy = {})
+{
+    World world(trace, policy, seed);
+    world.run();
+    return collectFigures(world);
+}
+
+std::set<std::filesystem::path> tracePaths()
+{
+    std::set<std::filesystem::path> paths;
+    for (const auto& entry : std::filesystem::directory_iterator(LAVENDER_TRACES)) {
+        paths.insert(entry.path());
+    }
+    return paths;
+}
+
+} // namespace
+
+TEST_GROUP(Replay) {};
+
+TEST(Replay, EveryTraceHoldsItsOutcomes)
+{
+    CHECK_TRUE(tracePaths().size() >= 6);
+    for (const auto& path : tracePaths()) {
+        const Trace trace = loadTrace(path);
+        for (uint64_t seed = 1; seed <= 3; ++seed) {
+            World world(trace, {}, seed);
+            world.run();
+            for (const FailedExpectation& failed : checkExpectations(trace, collectFigures(world), world)) {
+                std::cerr << path.filename() << ", seed " << seed << ": " << failed.expectation.figure << " is " << failed.value << "\n";
+                FAIL("a stated outcome does not hold");
+            }
+        }
+    }
+}
+
+TEST(Replay, SameSeedGivesTheSameFigures)
+{
+    const Trace trace = loadTrace(std::filesystem::path(LAVENDER_TRACES) / "wrekin-balancers.jsonl");
+    CHECK_TRUE(replay(trace, 5) == replay(trace, 5));
+    CHECK_FALSE(replay(trace, 5) == replay(trace, 6));
+}
+
+TEST(Replay, NaiveVersionsKeepTheirPromiseOnlyWhereNothingChanges)
+{
+    const ReplayPolicy naive { "naive", false };
+    const ReplayPolicy hash { "hash", false };
+    const Trace steady = loadTrace(std::filesystem::path(LAVENDER_TRACES) / "wrekin-steady.jsonl");
+    const Trace changing = loadTrace(std::filesystem::path(LAVENDER_TRACES) / "wrekin-upstreams.jsonl");
+    for (const ReplayPolicy& policy : { naive, hash }) {
+        CHECK_EQUAL(0.0, replay(steady, 1, policy)["broken_flows"]);
+        CHECK_TRUE(replay(changing, 1, policy)["broken_flows"] > 0);
+    }
+    CHECK_EQUAL(0.0, replay(changing, 1)["broken_flows"]);
+}
--- /dev/null
+++ b/tests/rule_test.cpp
@@ -0,0 +1,79 @@
+/** @file rule_test.cpp The operators' rules: parsed, every fault at its place, edited without touching other lines. */
+#include "config/rule_cmd.h"
+#include "config/rule_func.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+TEST_GROUP(Rule) {};
+
+TEST(Rule, ReadsEveryKind)
+{
+    const ParsedRules parsed = parseRules("# all of it\nservice orders at 10.0.0.1:80 slots 5 connections 100 ramp 2000 # ann\nannounce orders in a # ann\n\nzone a out # bo\ndrain 10.0.0.2:7000 # bo\nweight 10.0.0.3:7000 50 # ann\n");
+    CHECK_TRUE(parsed.faults.empty());
+    const Configuration& configuration = parsed.configuration;
+    CHECK_EQUAL(5, configuration.findService("orders")->slots);
+    CHECK_EQUAL(100U, configuration.findService("orders")->connections);
+    CHECK_TRUE(configuration.findService("orders")->ramp == Duration(2s));
+    CHECK_TRUE(configuration.isZoneOut("a"));
+    CHECK_TRUE(configuration.mayAnnounce("orders", "a"));
+    CHECK_FALSE(configuration.mayAnnounce("orders", "b"));
+    CHECK_EQUAL(1U, configuration.drained.size());
+    CHECK_EQUAL(50, configuration.weights.begin()->second);
+}
+
+TEST(Rule, ReportsAllFaultsWithTheirPlaces)
+{
+    const ParsedRules parsed = parseRules("service orders at 10.0.0.1:99999 # ann\nzone a away # bo\nfrobnicate # bo\nzone a out\nannounce proofs in a # ann\nservice x at 1.2.3.4:5 slots 0 # ann\n");
+    STRCMP_EQUAL("f:1:19: \"10.0.0.1:99999\": expected an address A.B.C.D:PORT with port 1..65535\n"
+                 "f:2:8: \"away\": expected \"in\" or \"out\"\n"
+                 "f:3:1: \"frobnicate\": expected one of service, announce, zone, drain, weight\n"
+                 "f:4:11: no comment: expected \"# WHO ASKED\" behind the rule\n"
+                 "f:5:10: \"proofs\": expected the name of a service of this file\n"
+                 "f:6:30: \"0\": expected a number 1..600\n",
+        formatFaults("f", parsed.faults).c_str());
+}
+
+TEST(Rule, RefusesDoubles)
+{
+    CHECK_EQUAL(1U, parseRules("service a at 1.2.3.4:5 # x\nservice a at 1.2.3.4:6 # x\n").faults.size());
+    CHECK_EQUAL(1U, parseRules("service a at 1.2.3.4:5 # x\nservice b at 1.2.3.4:5 # x\n").faults.size());
+}
+
+TEST(Rule, ZoneCommandTouchesOneLine)
+{
+    const std::string before = "# header\n  service a at 1.2.3.4:5   # x\nannounce a in z # x\nzone z in # old\n# end";
+    const std::string after = withZone(before, "z", true, "bo");
+    STRCMP_EQUAL("# header\n  service a at 1.2.3.4:5   # x\nannounce a in z # x\nzone z out # bo\n# end", after.c_str());
+    STRCMP_EQUAL("a # x\nzone z in # bo\n", withZone("a # x", "z", false, "bo").c_str());
+}
+
+TEST(Rule, DrainIsAddedAndRemoved)
+{
+    const std::string before = "zone z in # x\n";
+    const std::string drained = withDrain(before, { 0x01020304, 5 }, true, "bo");
+    STRCMP_EQUAL("zone z in # x\ndrain 1.2.3.4:5 # bo\n", drained.c_str());
+    STRCMP_EQUAL(before.c_str(), withDrain(drained, { 0x01020304, 5 }, false, "bo").c_str());
+}
+
+TEST(Rule, CommandWithoutANameOfWhoAskedIsRefused)
+{
+    const std::string rules = "service a at 1.2.3.4:5 # x\nannounce a in z # x\n";
+    CHECK_FALSE(testCommand(rules, { .kind = RuleCommandKind::ZoneOut, .zone = "z" }).ok());
+    CHECK_FALSE(testCommand(rules, { .kind = RuleCommandKind::ZoneOut, .zone = "z", .who = "a\nzone y out # b" }).ok());
+    CHECK_TRUE(testCommand(rules, { .kind = RuleCommandKind::ZoneOut, .zone = "z", .who = "a" }).ok());
+}
+
+TEST(Rule, AnyTextIsReadOrRefused)
+{
+    CHECK_TRUE(rc::check("any text", [](const std::string& text) {
+        const ParsedRules parsed = parseRules(text);
+        for (const RuleFault& fault : parsed.faults) {
+            RC_ASSERT(fault.position.line >= 1U);
+            RC_ASSERT(fault.position.column >= 1U);
+        }
+    }));
+}
--- /dev/null
+++ b/tests/setting_test.cpp
@@ -0,0 +1,40 @@
+/** @file setting_test.cpp Settings files: every fault at once, with its path. */
+#include "settings/setting_func.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+TEST_GROUP(Setting) {};
+
+TEST(Setting, FillsWhatTheFileLeavesOut)
+{
+    const absl::StatusOr<BalancerProcessSettings> settings = parseBalancerSettings(R"({"listen": "127.0.0.1:7000", "zone": "a", "seeds": ["127.0.0.1:7001"]})");
+    CHECK_TRUE(settings.ok());
+    CHECK_EQUAL(7000, settings->listen.port);
+    CHECK_EQUAL(1U, settings->seeds.size());
+    CHECK_TRUE(settings->leaseTime == Duration(60s));
+    STRCMP_EQUAL("product", settings->steering.c_str());
+}
+
+TEST(Setting, ReportsEveryFault)
+{
+    const absl::StatusOr<AgentProcessSettings> settings = parseAgentSettings(R"({"listen": "127.0.0.1:70000", "zon": "a", "upstream": {"url": "ftp://x", "slots": 0}, "log": {"format": "xml"}})");
+    const std::string message(settings.status().message());
+    STRCMP_EQUAL("/listen: \"127.0.0.1:70000\": expected \"A.B.C.D:PORT\"\n"
+                 "/log/format: \"xml\": expected one of text, json\n"
+                 "/upstream/slots: 0: expected 1..600\n"
+                 "/upstream/url: \"ftp://x\": expected \"http://A.B.C.D:PORT\"\n"
+                 "/zon: unknown setting: did you mean /zone?\n"
+                 "/zone: missing: expected name\n"
+                 "/service: missing: expected name\n"
+                 "/return: missing: expected address",
+        message.c_str());
+}
+
+TEST(Setting, RefusesWhatIsNoObject)
+{
+    CHECK_FALSE(parseBalancerSettings("[]").ok());
+    CHECK_FALSE(parseBalancerSettings("{").ok());
+    CHECK_FALSE(parseBalancerSettings("").ok());
+}
--- /dev/null
+++ b/tests/steering_test.cpp
@@ -0,0 +1,122 @@
+/** @file steering_test.cpp Bucket tables: least disruption, weights, zones, and what product and naive agree on. */
+#include "test_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+
+namespace {
+
+std::vector<BucketMember> bucketEntries(uint32_t count)
+{
+    std::vector<BucketMember> members;
+    for (uint32_t index = 0; index < count; ++index) {
+        members.push_back({ agentAddress(index), 500, true });
+    }
+    return members;
+}
+
+Address homeOf(const BucketTable& table, uint64_t hash) { return table.members()[table.choose(hash).home].address; }
+
+} // namespace
+
+TEST_GROUP(Steering) {};
+
+TEST(Steering, JoinMovesOnlyBucketsToTheJoiner)
+{
+    const BucketTable before(bucketEntries(7));
+    const BucketTable after(bucketEntries(8));
+    size_t moved = 0;
+    for (uint64_t bucket = 0; bucket < bucketCount; ++bucket) {
+        if (homeOf(before, bucket) != homeOf(after, bucket)) {
+            CHECK_TRUE(homeOf(after, bucket) == agentAddress(7));
+            // The home before is the next choice, so that its flows are found in one hop.
+            CHECK_TRUE(after.members()[after.choose(bucket).second].address == homeOf(before, bucket));
+            ++moved;
+        }
+    }
+    CHECK_TRUE(moved > bucketCount / 16 && moved < bucketCount / 4);
+}
+
+TEST(Steering, DrainMovesOnlyItsOwnBucketsAndStaysInTheList)
+{
+    const BucketTable before(bucketEntries(7));
+    std::vector<BucketMember> members = bucketEntries(7);
+    members[3].isEligible = false;
+    const BucketTable after(members);
+    for (uint64_t bucket = 0; bucket < bucketCount; ++bucket) {
+        if (homeOf(before, bucket) == agentAddress(3)) {
+            CHECK_TRUE(after.members()[after.choose(bucket).ranked[0]].address == agentAddress(3));
+        } else {
+            CHECK_TRUE(homeOf(before, bucket) == homeOf(after, bucket));
+        }
+    }
+}
+
+TEST(Steering, WeightsGiveShares)
+{
+    std::vector<BucketMember> members = bucketEntries(4);
+    members[0].weight = 100;
+    const BucketTable table(members);
+    size_t light = 0;
+    for (uint64_t bucket = 0; bucket < bucketCount; ++bucket) {
+        light += homeOf(table, bucket) == agentAddress(0) ? 1 : 0;
+    }
+    // 1/16 of the buckets, give or take three standard deviations.
+    CHECK_TRUE(light >= 64 - 24 && light <= 64 + 24);
+}
+
+TEST(Steering, NothingIsSentIntoAZoneThatIsOut)
+{
+    const TestView view(0s, { agentRecord(0), agentRecord(1), agentRecord(2), agentRecord(3) }, "zone b out # operator\n");
+    for (uint16_t port = 1024; port < 3024; ++port) {
+        const ForwardedPacket forwarded = view.route(100s, requestPacket(testFlow(port), 1));
+        CHECK_TRUE(std::find(forwarded.candidates.begin(), forwarded.candidates.end(), agentAddress(1)) == forwarded.candidates.end());
+    }
+}
+
+TEST(Steering, OpeningPassesTheEarlierHomeOnlyWhileViewsSettle)
+{
+    const TestView view(100s, { agentRecord(0), agentRecord(1), agentRecord(2) });
+    for (uint16_t port = 1024; port < 1124; ++port) {
+        const FlowPacket packet = openingPacket(testFlow(port));
+        CHECK_TRUE(view.route(101s, packet).candidates.front() != view.route(101s, packet).home);
+        CHECK_TRUE(view.route(200s, packet).candidates.front() == view.route(200s, packet).home);
+    }
+}
+
+TEST(Steering, AnnouncementNeedsARule)
+{
+    MemberRecord stranger = agentRecord(0);
+    stranger.zone = "unknown";
+    const TestView view(0s, { stranger, agentRecord(1) });
+    for (uint16_t port = 1024; port < 1124; ++port) {
+        CHECK_TRUE(view.route(100s, openingPacket(testFlow(port))).home == agentAddress(1));
+    }
+}
+
+TEST(Steering, ProductAndNaiveAgreeWhereNothingChanges)
+{
+    // Both send each packet of a flow to one agent that may have it, the same each time.
+    const std::vector<MemberRecord> records { agentRecord(0), agentRecord(1), agentRecord(2), agentRecord(3, MemberState::Draining) };
+    const Configuration configuration = parseRules(testRules()).configuration;
+    for (const char* name : { "product", "naive" }) {
+        const std::unique_ptr<Steering> steering = makeSteering(name);
+        steering->update(0s, configuration.services[0], configuration, records);
+        for (uint16_t port = 1024; port < 2024; ++port) {
+            ForwardedPacket first { .packet = openingPacket(testFlow(port)) };
+            ForwardedPacket second { .packet = requestPacket(testFlow(port), 1) };
+            CHECK_TRUE(steering->route(100s, configuration.services[0], first));
+            CHECK_TRUE(steering->route(200s, configuration.services[0], second));
+            CHECK_TRUE(first.candidates.front() == second.candidates.front());
+            CHECK_TRUE(first.candidates.front() != agentAddress(3));
+        }
+    }
+}
+
+TEST(Steering, EmptyServiceIsNotRouted)
+{
+    const TestView view(0s, {});
+    ForwardedPacket forwarded { .packet = openingPacket(testFlow()) };
+    CHECK_FALSE(view.steering.route(0s, view.configuration.services[0], forwarded));
+}
--- /dev/null
+++ b/tests/test_network.h
@@ -0,0 +1,202 @@
+/** @file test_network.h A few agents and balancer views, with every message under the test's control. */
+#pragma once
+
+#include "agent/agent_base.h"
+#include "config/rule_func.h"
+#include "core/hash_func.h"
+#include "core/random_base.h"
+#include "steer/steering_base.h"
+#include "wire/codec_func.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lavender {
+
+/** Rules for one service "orders" in zones a to d. */
+inline std::string testRules(std::string_view more = "")
+{
+    return "service orders at 10.20.0.1:80 slots 5 connections 2000 ramp 0 # test\n"
+           "announce orders in a # test\nannounce orders in b # test\nannounce orders in c # test\nannounce orders in d # test\n"
+        + std::string(more);
+}
+
+inline Address agentAddress(uint32_t index) { return { 0x0a620001 + index, 7000 }; }
+inline FlowKey testFlow(uint16_t port = 4000) { return { { 0x0a000001, port }, { 0x0a140001, 80 } }; }
+
+inline MemberRecord agentRecord(uint32_t index, MemberState state = MemberState::Ready, uint32_t version = 1)
+{
+    return { .address = agentAddress(index), .role = MemberRole::Agent, .zone = std::string(1, static_cast<char>('a' + index % 4)), .service = "orders", .incarnation = 1, .version = version, .state = state, .slots = 5, .weight = 500 };
+}
+
+/** A balancer's view of the agents. */
+struct TestView {
+    RendezvousSteering steering;
+    Configuration configuration;
+
+    TestView(TimePoint now, const std::vector<MemberRecord>& records, std::string_view more = "")
+    {
+        this->configuration = parseRules(testRules(more)).configuration;
+        this->update(now, records);
+    }
+
+    void update(TimePoint now, const std::vector<MemberRecord>& records)
+    {
+        this->steering.update(now, this->configuration.services[0], this->configuration, records);
+    }
+
+    ForwardedPacket route(TimePoint now, const FlowPacket& packet) const
+    {
+        ForwardedPacket forwarded { .packet = packet };
+        (void)this->steering.route(now, this->configuration.services[0], forwarded);
+        return forwarded;
+    }
+};
+
+/** Agents with messages between them in flight until the test delivers them. */
+class TestNetwork {
+public:
+    explicit TestNetwork(uint32_t count)
+        : random(7)
+    {
+        std::vector<MemberRecord> records;
+        for (uint32_t index = 0; index < count; ++index) {
+            records.push_back(agentRecord(index));
+        }
+        for (uint32_t index = 0; index < count; ++index) {
+            this->agents.push_back(std::make_unique<Agent>(AgentSettings { agentAddress(index), records[index].zone, "orders", 1, 5 }, this->random));
+        }
+        this->setRules(1, testRules());
+        this->setPeers(records);
+    }
+
+    void setRules(Revision revision, const std::string& rules)
+    {
+        for (const auto& agent : this->agents) {
+            this->collect([&](Actions& actions) { agent->onSnapshot(this->now, { .revision = revision, .rules = rules }, actions); });
+        }
+    }
+
+    void setPeers(const std::vector<MemberRecord>& records)
+    {
+        for (const auto& agent : this->agents) {
+            this->tell(*agent, records);
+        }
+        this->tickAll();
+    }
+
+    void tell(Agent& agent, const std::vector<MemberRecord>& records)
+    {
+        this->collect([&](Actions& actions) { agent.onMessage(this->now, AnnounceReply { .peers = records }, actions); });
+        this->collect([&](Actions& actions) { agent.onMessage(this->now, AnnounceReply {}, actions); });
+    }
+
+    void tickAll()
+    {
+        for (const auto& agent : this->agents) {
+            this->collect([&](Actions& actions) { agent->tick(this->now, actions); });
+        }
+    }
+
+    void send(Address to, const Message& message) { this->inFlight.push_back({ to, message }); }
+
+    /** Delivers message number @p index of those in flight. */
+    void deliver(size_t index)
+    {
+        const SendMessage next = this->inFlight[index];
+        this->inFlight.erase(this->inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+        if (Agent* agent = this->find(next.to); agent != nullptr) {
+            this->collect([&](Actions& actions) { agent->onMessage(this->now, next.message, actions); });
+        }
+    }
+
+    void deliverAll()
+    {
+        for (int budget = 10'000; !this->inFlight.empty() && budget > 0; --budget) {
+            this->deliver(0);
+        }
+    }
+
+    /** Moves time on in ticks, delivering all. */
+    void advance(Duration span)
+    {
+        for (const TimePoint end = this->now + span; this->now < end;) {
+            this->now += 50ms;
+            this->tickAll();
+            this->deliverAll();
+        }
+    }
+
+    Agent* find(Address address)
+    {
+        const auto found = std::find_if(this->agents.begin(), this->agents.end(), [address](const auto& agent) { return agent != nullptr && agent->self().address == address; });
+        return found == this->agents.end() ? nullptr : found->get();
+    }
+
+    /** Agents that hold a flow and may work on it. */
+    std::vector<Address> owners(const FlowKey& flow) const
+    {
+        std::vector<Address> result;
+        for (const auto& agent : this->agents) {
+            const auto found = agent->flowTable().find(flow);
+            if (found != agent->flowTable().end() && !found->second.movingTo.isValid()) {
+                result.push_back(agent->self().address);
+            }
+        }
+        return result;
+    }
+
+    /** Notices that callers got, and answers, in order. */
+    std::vector<Exchange> toCallers;
+    std::vector<HandOver> handOvers;
+    std::vector<HandOverId> cancelled;
+    std::vector<SendMessage> inFlight;
+    std::vector<std::unique_ptr<Agent>> agents;
+    TimePoint now { 1s };
+
+    template <typename Function>
+    void collect(const Function& function)
+    {
+        Actions actions;
+        function(actions);
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<SendMessage>(&action)) {
+                this->inFlight.push_back(*send);
+            } else if (const auto* back = std::get_if<SendToCaller>(&action)) {
+                this->toCallers.push_back(*decodeExchange(back->packet.payload));
+            } else if (const auto* handOver = std::get_if<HandOver>(&action)) {
+                this->handOvers.push_back(*handOver);
+            } else if (const auto* cancel = std::get_if<CancelHandOver>(&action)) {
+                this->cancelled.push_back(cancel->id);
+            }
+        }
+    }
+
+    size_t notices(FlowEvent event) const
+    {
+        return static_cast<size_t>(std::count_if(this->toCallers.begin(), this->toCallers.end(), [event](const Exchange& exchange) {
+            const auto* notice = std::get_if<FlowNotice>(&exchange);
+            return notice != nullptr && notice->event == event;
+        }));
+    }
+
+private:
+    SeededRandom random;
+};
+
+inline FlowPacket openingPacket(const FlowKey& flow)
+{
+    return { .flow = flow, .mark = PacketMark::Opening, .payload = encodeExchange(FlowNotice { .event = FlowEvent::Open }) };
+}
+
+inline FlowPacket requestPacket(const FlowKey& flow, uint64_t request, std::string_view key = "")
+{
+    const RequestPart part { .request = request, .remaining = 4000, .key = std::string(key), .body = { 'x' } };
+    return { .flow = flow, .mark = PacketMark::Middle, .payload = encodeExchange(part) };
+}
+
+} // namespace lavender
