--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -5,7 +5,6 @@
 #include "core/status_func.h"
 
 #include <algorithm>
-#include <map>
 
 namespace lavender {
 
@@ -20,18 +19,6 @@
         return { .address = settings.address, .role = MemberRole::Balancer, .zone = settings.zone, .incarnation = settings.incarnation, .version = 1, .state = MemberState::Ready };
     }
 
-    /** Agents of one service, those that are gone too: an agent that missed the news must hear it. */
-    std::vector<MemberRecord> agentsOf(const MemberTable& table, std::string_view service)
-    {
-        std::vector<MemberRecord> records;
-        for (const auto& [address, member] : table.all()) {
-            if (member.record.role == MemberRole::Agent && member.record.service == service) {
-                records.push_back(member.record);
-            }
-        }
-        return records;
-    }
-
 } // namespace
 
 Balancer::Balancer(const BalancerSettings& settings, std::unique_ptr<Steering> steering, Random& random)
@@ -90,7 +77,7 @@
         reply.knownVersion = known->record.version;
         reply.knownLiveness = known->record.liveness;
     }
-    std::vector<MemberRecord> peers = agentsOf(this->members.table(), record.service);
+    std::vector<MemberRecord> peers = this->members.table().agentsOf(record.service);
     if (digestRecords(peers) != announce.peersDigest) {
         constexpr size_t peersBudgetBytes = 1100;
         size_t bytes = 0;
@@ -141,9 +128,7 @@
 
 void Balancer::onSnapshot(TimePoint now, const Snapshot& snapshot)
 {
-    for (const MemberRecord& record : snapshot.members) {
-        this->members.learn(now, record);
-    }
+    this->members.absorb(now, snapshot.members);
     if (!snapshot.rules.empty()) {
         (void)this->onConfiguration(now, snapshot.revision, snapshot.rules);
     }
@@ -171,23 +156,22 @@
 
 void Balancer::refreshTables(TimePoint now)
 {
-    const MemberTable& table = this->members.table();
-    if (table.changeCount() == this->tablesAt && this->follower.revision() == this->tablesRevision) {
+    const Configuration& configuration = this->follower.current();
+    const bool isNewRevision = this->follower.revision() != this->tablesRevision;
+    const std::set<std::string> changed = this->members.takeChangedServices();
+    if (isNewRevision) {
+        this->tablesRevision = this->follower.revision();
+        this->steering->retain(configuration);
+        for (const ServiceRule& service : configuration.services) {
+            this->steering->update(now, service, configuration, this->members.table().agentsOf(service.name));
+        }
         return;
     }
-    this->tablesAt = table.changeCount();
-    this->tablesRevision = this->follower.revision();
-    std::map<std::string_view, std::vector<MemberRecord>> byService;
-    for (const auto& [address, member] : table.all()) {
-        if (member.record.role == MemberRole::Agent) {
-            byService[member.record.service].push_back(member.record);
+    for (const std::string& name : changed) {
+        if (const ServiceRule* service = configuration.findService(name); service != nullptr) {
+            this->steering->update(now, *service, configuration, this->members.table().agentsOf(name));
         }
     }
-    const Configuration& configuration = this->follower.current();
-    this->steering->retain(configuration);
-    for (const ServiceRule& service : configuration.services) {
-        this->steering->update(now, service, configuration, byService[service.name]);
-    }
 }
 
 void Balancer::tick(TimePoint now, Actions& actions)
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -71,7 +71,6 @@
     Counters count;
     GossipSystem members;
     ConfigurationFollower follower;
-    uint64_t tablesAt = 0; ///< Change count of the member table that the bucket tables stand for.
     Revision tablesRevision = 0; ///< Revision that the bucket tables stand for.
     TimePoint nextFetch {};
     TimePoint nextSeeds {};
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -105,6 +105,17 @@
     return true;
 }
 
+void GossipSystem::absorb(TimePoint now, std::span<const MemberRecord> records)
+{
+    for (const MemberRecord& record : records) {
+        if (record.address == this->own.address) {
+            this->refute(now, record);
+        } else {
+            this->members.merge(now, record);
+        }
+    }
+}
+
 std::vector<MemberRecord> GossipSystem::takeRecords()
 {
     std::vector<std::pair<int, Address>> order;
--- a/src/member/gossip_base.h
+++ b/src/member/gossip_base.h
@@ -28,6 +28,12 @@
     /** Takes a record from an agent, a snapshot or gossip and spreads it if it is new. @return True where it was. */
     bool learn(TimePoint now, const MemberRecord& record);
 
+    /** Takes records from a snapshot; the others have them already, so they are not spread. */
+    void absorb(TimePoint now, std::span<const MemberRecord> records);
+
+    /** Services whose agents changed since the last call. */
+    std::set<std::string> takeChangedServices() { return this->members.takeChangedServices(); }
+
     /** Probes, times out, spreads. */
     void tick(TimePoint now, Revision revision, Actions& actions);
 
--- a/src/member/member_table.cpp
+++ b/src/member/member_table.cpp
@@ -40,6 +40,11 @@
             return false;
         }
         this->toggle(member.record);
+        this->unlist(member.record);
+    }
+    if (record.role == MemberRole::Agent) {
+        this->byService[record.service].insert(record.address);
+        this->changedServices.insert(record.service);
     }
     member.record = record;
     member.changed = now;
@@ -61,11 +66,40 @@
 
 void MemberTable::purge(TimePoint now, Duration age)
 {
-    std::erase_if(this->members, [now, age](const auto& entry) {
-        return entry.second.record.liveness == Liveness::Gone && now - entry.second.changed > age;
+    std::erase_if(this->members, [this, now, age](const auto& entry) {
+        const bool isOld = entry.second.record.liveness == Liveness::Gone && now - entry.second.changed > age;
+        if (isOld) {
+            this->unlist(entry.second.record);
+        }
+        return isOld;
     });
 }
 
+/** An agent may return at its address for another service. */
+void MemberTable::unlist(const MemberRecord& record)
+{
+    const auto service = this->byService.find(record.service);
+    if (record.role != MemberRole::Agent || service == this->byService.end()) {
+        return;
+    }
+    service->second.erase(record.address);
+    this->changedServices.insert(record.service);
+    if (service->second.empty()) {
+        this->byService.erase(service);
+    }
+}
+
+std::vector<MemberRecord> MemberTable::agentsOf(std::string_view service) const
+{
+    std::vector<MemberRecord> records;
+    if (const auto found = this->byService.find(service); found != this->byService.end()) {
+        for (Address address : found->second) {
+            records.push_back(this->members.at(address).record);
+        }
+    }
+    return records;
+}
+
 const Member* MemberTable::find(Address address) const
 {
     const auto found = this->members.find(address);
--- a/src/member/member_table.h
+++ b/src/member/member_table.h
@@ -8,7 +8,11 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lavender {
@@ -32,6 +36,10 @@
     void purge(TimePoint now, Duration age);
 
     const Member* find(Address address) const;
+    /** Records of one service's agents, those that are gone too. */
+    std::vector<MemberRecord> agentsOf(std::string_view service) const;
+    /** Services whose agents changed since the last call. */
+    std::set<std::string> takeChangedServices() { return std::exchange(this->changedServices, {}); }
     const std::map<Address, Member>& all() const { return this->members; }
 
     /** Digest of all members that are not gone. */
@@ -46,8 +54,11 @@
 
 private:
     void toggle(const MemberRecord& record);
+    void unlist(const MemberRecord& record);
 
     std::map<Address, Member> members;
+    std::map<std::string, std::set<Address>, std::less<>> byService;
+    std::set<std::string> changedServices;
     std::array<uint64_t, digestBuckets> digests {};
     uint64_t changes = 0;
 };
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -13,7 +13,7 @@
     constexpr Duration retryCeiling = 20s;
     constexpr int maximumDoublings = 8;
     constexpr Duration emptyReadPeriod = 5s; ///< About the time between two reads while the store has no rules.
-    constexpr Duration seedPeriod = 20s;
+    constexpr Duration seedPeriod = 60s;
     constexpr Duration aloneSeedPeriod = 1s;
 
 } // namespace
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -1,94 +1,12 @@
 /** @file gossip_test.cpp Membership: merging, suspicion, refutation, spread. */
-#include "core/random_base.h"
-#include "member/gossip_base.h"
-#include "wire/codec_func.h"
+#include "replay/gossip_fleet.h"
 
 #include <rapidcheck.h>
 
-#include <deque>
-#include <memory>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace lavender;
 
-namespace {
-
-MemberRecord balancerRecord(uint32_t index) { return { .address = { 0x0a630001 + index, 7000 }, .role = MemberRole::Balancer, .zone = "a", .incarnation = 1, .version = 1, .state = MemberState::Ready }; }
-
-/** Balancers that gossip over a lossy carrier in 50 ms steps. */
-class Fleet {
-public:
-    Fleet(uint32_t count, uint32_t lossPartsPerMillion)
-        : random(3)
-        , loss(lossPartsPerMillion)
-    {
-        for (uint32_t index = 0; index < count; ++index) {
-            this->nodes.push_back(std::make_unique<GossipSystem>(balancerRecord(index), this->random, this->counters));
-        }
-        for (auto& node : this->nodes) {
-            for (uint32_t index = 0; index < count; ++index) {
-                node->learn(this->now, balancerRecord(index));
-            }
-        }
-        this->isStopped.resize(count);
-    }
-
-    void advance(Duration span)
-    {
-        for (const TimePoint end = this->now + span; this->now < end;) {
-            this->now += 50ms;
-            Actions actions;
-            for (size_t index = 0; index < this->nodes.size(); ++index) {
-                if (!this->isStopped[index]) {
-                    this->nodes[index]->tick(this->now, 0, actions);
-                }
-            }
-            this->deliver(actions);
-        }
-    }
-
-    void deliver(Actions& actions)
-    {
-        std::deque<Action> waiting(actions.begin(), actions.end());
-        for (; !waiting.empty(); waiting.pop_front()) {
-            const auto& send = std::get<SendMessage>(waiting.front());
-            this->bytes += encodeMessage(send.message).size();
-            const size_t to = send.to.host - 0x0a630001;
-            if (to >= this->nodes.size() || this->isStopped[to] || this->random.chance(this->loss)) {
-                continue;
-            }
-            Actions answers;
-            if (const auto* gossip = std::get_if<Gossip>(&send.message)) {
-                this->nodes[to]->onGossip(this->now, *gossip, 0, answers);
-            } else if (const auto* exchange = std::get_if<DigestExchange>(&send.message)) {
-                this->nodes[to]->onDigestExchange(this->now, *exchange, answers);
-            }
-            waiting.insert(waiting.end(), answers.begin(), answers.end());
-        }
-    }
-
-    size_t countSeeing(uint32_t member, Liveness liveness) const
-    {
-        size_t count = 0;
-        for (size_t index = 0; index < this->nodes.size(); ++index) {
-            const Member* seen = this->nodes[index]->table().find(balancerRecord(member).address);
-            count += !this->isStopped[index] && seen != nullptr && seen->record.liveness == liveness ? 1 : 0;
-        }
-        return count;
-    }
-
-    TimePoint now { 1s };
-    SeededRandom random;
-    uint32_t loss;
-    Counters counters;
-    std::vector<std::unique_ptr<GossipSystem>> nodes;
-    std::vector<bool> isStopped;
-    size_t bytes = 0;
-};
-
-} // namespace
-
 TEST_GROUP(Gossip) {};
 
 TEST(Gossip, MergeIsTheSameInAnyOrder)
@@ -116,7 +34,7 @@
 
 TEST(Gossip, ChangeReachesEveryoneDespiteLoss)
 {
-    Fleet fleet(100, 50'000);
+    GossipFleet fleet(100, 50'000);
     MemberRecord agent { .address = { 0x0a620001, 7000 }, .role = MemberRole::Agent, .zone = "b", .service = "orders", .incarnation = 1, .version = 1 };
     fleet.nodes[0]->learn(fleet.now, agent);
     fleet.advance(4s);
@@ -127,7 +45,7 @@
 
 TEST(Gossip, DeadBalancerIsKnownToAllWithinFiveSeconds)
 {
-    Fleet fleet(50, 50'000);
+    GossipFleet fleet(50, 50'000);
     fleet.advance(5s);
     fleet.isStopped[7] = true;
     fleet.advance(5s);
@@ -136,7 +54,7 @@
 
 TEST(Gossip, LiveBalancerIsNotDeclaredDeadUnderLoss)
 {
-    Fleet fleet(50, 50'000);
+    GossipFleet fleet(50, 50'000);
     fleet.advance(120s);
     for (uint32_t index = 0; index < 50; ++index) {
         CHECK_EQUAL(0U, fleet.countSeeing(index, Liveness::Gone));
@@ -145,7 +63,7 @@
 
 TEST(Gossip, PausedBalancerComesBackAndAccusesNobody)
 {
-    Fleet fleet(20, 0);
+    GossipFleet fleet(20, 0);
     fleet.advance(5s);
     fleet.isStopped[3] = true;
     fleet.advance(30s);
@@ -160,7 +78,7 @@
 
 TEST(Gossip, TablesMeetAgainAfterNewsWasMissed)
 {
-    Fleet fleet(10, 0);
+    GossipFleet fleet(10, 0);
     fleet.advance(2s);
     // One node hears nothing while the others spread a change to its end.
     fleet.isStopped[9] = true;
@@ -178,7 +96,7 @@
 
 TEST(Gossip, FarewellSpreads)
 {
-    Fleet fleet(20, 0);
+    GossipFleet fleet(20, 0);
     fleet.advance(2s);
     Actions actions;
     fleet.nodes[4]->leave(fleet.now, 0, actions);
@@ -190,7 +108,7 @@
 
 TEST(Gossip, AgentsOfALostZoneAreDeclaredGone)
 {
-    Fleet fleet(10, 0);
+    GossipFleet fleet(10, 0);
     MemberRecord agent { .address = { 0x0a620001, 7000 }, .role = MemberRole::Agent, .zone = "lost", .service = "orders", .incarnation = 1, .version = 1 };
     fleet.nodes[0]->learn(fleet.now, agent);
     fleet.advance(20s);
@@ -202,7 +120,7 @@
 TEST(Gossip, SteadyTrafficDoesNotGrowWithTheFleet)
 {
     const auto bytesPerNodeSecond = [](uint32_t count) {
-        Fleet fleet(count, 0);
+        GossipFleet fleet(count, 0);
         fleet.advance(20s);
         fleet.bytes = 0;
         fleet.advance(10s);
