--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -60,7 +60,7 @@
         explicit WholeView(uint32_t count)
             : services(count)
         {
-            Snapshot snapshot { .revision = 2, .rules = rulesFor(count) };
+            Snapshot snapshot { .revision = 2, .rules = makePatch(0, "", rulesFor(count)) };
             for (uint32_t index = 0; index < count * 12; ++index) {
                 snapshot.members.push_back(agentRecordOf(index, count));
             }
@@ -114,7 +114,7 @@
         rows.push_back({ "balancer: one service's table of 12 endpoints", build / builds * 1000, "ms", 1, false, "" });
     }
 
-    void addRuleRows(std::vector<BenchRow>& rows)
+    double addRuleRows(std::vector<BenchRow>& rows)
     {
         double seconds[2] = {};
         const uint32_t sizes[2] = { 300, 1500 };
@@ -127,10 +127,15 @@
         rows.push_back({ "all: rules of 1,500 services, 15 zones each", static_cast<double>(bytes) / 1000, "kB", 1000, false, "one value of the store" });
         rows.push_back({ "all: processor time to parse them", seconds[1] * 1000, "ms", -1, false, concat("300 services: ", seconds[0] * 1000, " ms") });
         rows.push_back({ "all: processor share of rule changes at target", targetChangesPerSecond * seconds[1] * 100, "% of core", 1.4, false, "parsing only" });
-        rows.push_back({ "balancer: bytes a second for rule changes at target", targetChangesPerSecond * static_cast<double>(bytes), "B/s", 4096, false, "each change is fetched whole" });
+        const std::string before = rulesFor(1500);
+        const std::string after = withZone(before, "zone-3", true, "night operator");
+        const auto patch = static_cast<double>(encodeMessage(Snapshot { .revision = 2, .rules = makePatch(1, before, after) }).size() + encodeMessage(SnapshotAsk {}).size());
+        const double perNode = targetChangesPerSecond * patch * (1 + targetEndpoints / targetNodes);
+        rows.push_back({ "balancer: bytes for rule changes at target", perNode, "B/s", 4096, false, concat("a patch of ", patch, " bytes, fetched once and given to ten agents") });
+        return perNode;
     }
 
-    void addGossipRows(std::vector<BenchRow>& rows)
+    double addGossipRows(std::vector<BenchRow>& rows)
     {
         double steady[3] = {};
         double churned[3] = {};
@@ -160,13 +165,15 @@
         const double atTarget = steady[2] + perChange * 1.4 * targetReplacementsPerSecond * versionsPerReplacement;
         rows.push_back({ "balancer: gossip at target, replacements included", atTarget, "B/s", 4096, false, "a change is sent log2 of the fleet times: 1.4 of that at 300" });
         rows.push_back({ "balancer: processor share of gossip", processor[2] * 100, "% of core", 1.4, false, concat("fleets of 50, 100, 300: ", processor[0] * 100, ", ", processor[1] * 100, ", ", processor[2] * 100) });
+        return atTarget;
     }
 
-    void addAnnounceRows(std::vector<BenchRow>& rows)
+    double addAnnounceRows(std::vector<BenchRow>& rows)
     {
         const MemberRecord record = agentRecordOf(1, 1500);
         const double announce = static_cast<double>(encodeMessage(Announce { record, 1, 1 }).size());
-        const double reply = static_cast<double>(encodeMessage(AnnounceReply { .balancers = std::vector<Address>(6) }).size());
+        const auto withList = static_cast<double>(encodeMessage(AnnounceReply { .balancers = std::vector<Address>(6) }).size());
+        const double reply = (withList + 7 * static_cast<double>(encodeMessage(AnnounceReply {}).size())) / 8;
         const double load = static_cast<double>(encodeMessage(LoadNews {}).size());
         constexpr double sponsors = 2;
         constexpr double loadMessages = 20; ///< A second, when load changes all the time: four peers each 200 ms.
@@ -174,6 +181,7 @@
         rows.push_back({ "agent: announcements, sent plus received", perAgent, "B/s", -1, false, "one a second to each of two balancers" });
         rows.push_back({ "agent: with load news at their busiest", perAgent + 2 * loadMessages * load, "B/s", 4096, false, "" });
         rows.push_back({ "balancer: announcements at target", perAgent * targetEndpoints / targetNodes, "B/s", 4096, false, "ten agents a balancer" });
+        return perAgent * targetEndpoints / targetNodes;
     }
 
     void addFlowRows(std::vector<BenchRow>& rows)
@@ -184,7 +192,7 @@
         for (size_t index = 0; index < 2; ++index) {
             Agent agent({ { 0x0a620001, 7000 }, "zone-0", "service-0", 1, 5 }, random);
             Actions actions;
-            agent.onSnapshot(1s, { .revision = 1, .rules = "service service-0 at 1.2.3.4:80 connections 100000 # x\nannounce service-0 in zone-0 # x\n" }, actions);
+            agent.onSnapshot(1s, { .revision = 1, .rules = makePatch(0, "", "service service-0 at 1.2.3.4:80 connections 100000 # x\nannounce service-0 in zone-0 # x\n") }, actions);
             const double before = heapBytes();
             for (uint32_t flow = 0; flow < sizes[index]; ++flow) {
                 const FlowPacket packet { .flow = { { flow + 1, 1 }, { 0x01020304, 80 } }, .mark = PacketMark::Opening, .payload = encodeExchange(FlowNotice { .event = FlowEvent::Open }) };
@@ -211,9 +219,10 @@
     std::vector<BenchRow> rows;
     addViewRows(rows);
     addChangeRows(rows);
-    addRuleRows(rows);
-    addGossipRows(rows);
-    addAnnounceRows(rows);
+    const double rules = addRuleRows(rows);
+    const double gossip = addGossipRows(rows);
+    const double announcements = addAnnounceRows(rows);
+    rows.push_back({ "balancer: all control traffic at target, sent plus received", rules + gossip + announcements, "B/s", 4096, false, "rules, gossip, announcements" });
     addFlowRows(rows);
     addStoreRows(rows);
     return rows;
--- a/bench/placement_model.cpp
+++ b/bench/placement_model.cpp
@@ -33,7 +33,7 @@
             for (const MemberRecord& record : this->records) {
                 this->agents.push_back(std::make_unique<Agent>(AgentSettings { record.address, "z", "s", 1, scene.slots, scene.steering == "product" }, this->random));
                 Actions actions;
-                this->agents.back()->onSnapshot(1s, { .revision = 1, .rules = rules, .members = this->records }, actions);
+                this->agents.back()->onSnapshot(1s, { .revision = 1, .rules = makePatch(0, "", rules), .members = this->records }, actions);
             }
             this->steering->update(Duration(-1h), this->configuration.services[0], this->configuration, this->records);
         }
--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -16,7 +16,8 @@
 namespace {
 
     /** Runs a function for each seed, as many at once as the machine has cores, and returns the results in order. */
-    template <typename Function> auto forEachSeed(unsigned seeds, const Function& function)
+    template <typename Function>
+    auto forEachSeed(unsigned seeds, const Function& function)
     {
         using Result = decltype(function(uint64_t {}));
         std::vector<Result> results(seeds);
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -79,7 +79,7 @@
         return;
     }
     this->nextFetch = now + fetchPeriod;
-    actions.push_back(FetchSnapshot { balancer, { .have = this->follower.revision(), .service = this->serviceHash } });
+    actions.push_back(FetchSnapshot { balancer, { .have = this->mustFetchWhole ? 0 : this->follower.revision(), .wantsMembers = !this->follower.hasAny(), .service = this->serviceHash } });
 }
 
 void Agent::onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions)
@@ -87,10 +87,11 @@
     for (const MemberRecord& record : snapshot.members) {
         this->peers.learn(now, record);
     }
-    if (snapshot.rules.empty()) {
+    if (snapshot.revision == 0) {
         return;
     }
     const absl::Status status = this->follower.offer(now, snapshot.revision, snapshot.rules);
+    this->mustFetchWhole = absl::IsDataLoss(status);
     if (!status.ok()) {
         this->count.add(absl::IsAlreadyExists(status) ? Counter::ConfigurationsOld : Counter::ConfigurationsRefused);
         return;
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -150,6 +150,7 @@
     double searchTokens = 0;
     TimePoint lastTick {};
     TimePoint nextFetch {};
+    bool mustFetchWhole = false; ///< The last patch of the rules did not fit.
     TimePoint nextLoad {};
     TimePoint lastLoad {};
     TimePoint nextExpiry {};
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -14,6 +14,14 @@
     constexpr Duration fetchPeriod = 500ms; ///< A newer revision is fetched this often until it is here.
     constexpr size_t announcedBalancers = 6; ///< Named to an agent in each reply.
 
+    Counter countOf(const absl::Status& offered)
+    {
+        if (offered.ok()) {
+            return Counter::ConfigurationsAccepted;
+        }
+        return absl::IsAlreadyExists(offered) ? Counter::ConfigurationsOld : Counter::ConfigurationsRefused;
+    }
+
     MemberRecord selfRecord(const BalancerSettings& settings)
     {
         return { .address = settings.address, .role = MemberRole::Balancer, .zone = settings.zone, .incarnation = settings.incarnation, .version = 1, .state = MemberState::Ready };
@@ -91,6 +99,12 @@
             reply.peers.push_back(peer);
         }
     }
+    // An agent that knows its balancers needs their list now and then only.
+    constexpr uint32_t repliesPerList = 8;
+    if (announce.revision != 0 && this->replies++ % repliesPerList != 0) {
+        actions.push_back(SendMessage { record.address, std::move(reply) });
+        return;
+    }
     reply.balancers = this->members.balancers(record.zone);
     std::sort(reply.balancers.begin(), reply.balancers.end(), [&record](Address left, Address right) {
         return hashPair(left.packed(), record.address.packed()) > hashPair(right.packed(), record.address.packed());
@@ -111,26 +125,24 @@
         return;
     }
     this->nextFetch = now + fetchPeriod;
-    actions.push_back(FetchSnapshot { peer, { .have = this->follower.revision() } });
+    actions.push_back(FetchSnapshot { peer, { .have = this->mustFetchWhole ? 0 : this->follower.revision() } });
 }
 
 absl::Status Balancer::onConfiguration(TimePoint now, Revision revision, std::string_view rules)
 {
     absl::Status status = this->follower.offer(now, revision, rules);
-    if (status.ok()) {
-        this->count.add(Counter::ConfigurationsAccepted);
-        this->refreshTables(now);
-    } else {
-        this->count.add(absl::IsAlreadyExists(status) ? Counter::ConfigurationsOld : Counter::ConfigurationsRefused);
-    }
+    this->count.add(countOf(status));
+    this->refreshTables(now);
     return status;
 }
 
 void Balancer::onSnapshot(TimePoint now, const Snapshot& snapshot)
 {
     this->members.absorb(now, snapshot.members);
-    if (!snapshot.rules.empty()) {
-        (void)this->onConfiguration(now, snapshot.revision, snapshot.rules);
+    if (snapshot.revision != 0) {
+        const absl::Status status = this->follower.offer(now, snapshot.revision, snapshot.rules);
+        this->count.add(countOf(status));
+        this->mustFetchWhole = absl::IsDataLoss(status);
     }
     this->refreshTables(now);
 }
@@ -147,7 +159,7 @@
         for (Address seed : seeds) {
             if (seed != this->settings.address) {
                 this->nextFetch = now + fetchPeriod;
-                actions.push_back(FetchSnapshot { seed, { .have = this->follower.revision() } });
+                actions.push_back(FetchSnapshot { seed, { .have = this->follower.revision(), .wantsMembers = true } });
                 break;
             }
         }
@@ -204,9 +216,13 @@
 
 Snapshot Balancer::makeSnapshot(const SnapshotAsk& ask) const
 {
-    Snapshot snapshot { .revision = this->follower.revision() };
-    if (snapshot.revision > ask.have) {
-        snapshot.rules = this->follower.current().text;
+    Snapshot snapshot;
+    if (this->follower.revision() > ask.have) {
+        snapshot.revision = this->follower.revision();
+        snapshot.rules = this->follower.patchFrom(ask.have);
+    }
+    if (!ask.wantsMembers) {
+        return snapshot;
     }
     for (const auto& [address, member] : this->members.table().all()) {
         if (ask.service == 0 || hashText(member.record.service) == ask.service) {
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -74,6 +74,8 @@
     Revision tablesRevision = 0; ///< Revision that the bucket tables stand for.
     TimePoint nextFetch {};
     TimePoint nextSeeds {};
+    bool mustFetchWhole = false; ///< The last patch of the rules did not fit.
+    uint32_t replies = 0; ///< To announcements.
     Revision toldRevision = 0; ///< Revision that the watched agents were told of.
 };
 
--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -97,11 +97,7 @@
         Snapshot makeSnapshot(const SnapshotAsk& ask) const override
         {
             const ConfigurationFollower& follower = this->agent.configuration();
-            Snapshot snapshot { .revision = follower.revision() };
-            if (snapshot.revision > ask.have) {
-                snapshot.rules = follower.current().text;
-            }
-            return snapshot;
+            return follower.revision() > ask.have ? Snapshot { .revision = follower.revision(), .rules = follower.patchFrom(ask.have) } : Snapshot();
         }
 
         void perform(const Action& action) override
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -1,6 +1,7 @@
 /** @file message_type.h Every message between processes of the system, and the datagrams of a flow. */
 #pragma once
 
+#include "config/rule_patch.h"
 #include "core/address_type.h"
 #include "core/strong_type.h"
 #include "member/member_type.h"
@@ -158,6 +159,7 @@
 /** Asks for configuration and members as a whole; over TCP. */
 struct SnapshotAsk {
     Revision have = 0; ///< Rules of this revision need not be sent again.
+    bool wantsMembers = false; ///< A process that starts takes the members too; later news of them comes by gossip.
     uint64_t service = 0; ///< hashText of the one service whose agents are wanted; 0 for all members.
     bool operator==(const SnapshotAsk&) const = default;
 };
@@ -165,7 +167,7 @@
 /** Configuration and members as a whole; over TCP. */
 struct Snapshot {
     Revision revision = 0;
-    std::string rules; ///< Operators' rules as committed; empty where the asker has this revision.
+    RulesPatch rules; ///< Operators' rules as committed, as a change of what the asker has where that is known.
     std::vector<MemberRecord> members;
     bool operator==(const Snapshot&) const = default;
 };
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -167,13 +167,26 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, SnapshotAsk& ask) { archive(ask.have, ask.service); }
+void serialize(Archive& archive, SnapshotAsk& ask)
+{
+    archive(ask.have);
+    transferBool(archive, ask.wantsMembers);
+    archive(ask.service);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RulesPatch& patch)
+{
+    archive(patch.base, patch.prefix, patch.suffix);
+    transferList(archive, patch.middle, maximumRulesBytes);
+    archive(patch.hash);
+}
 
 template <typename Archive>
 void serialize(Archive& archive, Snapshot& snapshot)
 {
     archive(snapshot.revision);
-    transferList(archive, snapshot.rules, maximumRulesBytes);
+    archive(snapshot.rules);
     transferList(archive, snapshot.members, maximumSnapshotRecords);
 }
 
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -74,6 +74,20 @@
     CHECK_EQUAL(5U, follower.revision());
 }
 
+TEST(Follower, PatchThatDoesNotFitChangesNothing)
+{
+    ConfigurationFollower source;
+    CHECK_TRUE(source.offer(1s, 5, rules).ok());
+    CHECK_TRUE(source.offer(2s, 6, std::string(rules) + "# more\n").ok());
+    ConfigurationFollower target;
+    CHECK_TRUE(target.offer(1s, 4, rules).ok());
+    CHECK_TRUE(absl::IsDataLoss(target.offer(2s, 6, source.patchFrom(5))));
+    CHECK_EQUAL(4U, target.revision());
+    CHECK_EQUAL(0U, source.patchFrom(4).base); // Too old: the whole.
+    CHECK_TRUE(target.offer(3s, 6, source.patchFrom(4)).ok());
+    CHECK_TRUE(target.current().text == source.current().text);
+}
+
 TEST(Follower, WatcherHearsOfAChangeWithinMilliseconds)
 {
     Desk desk;
--- a/tests/rule_test.cpp
+++ b/tests/rule_test.cpp
@@ -1,6 +1,7 @@
 /** @file rule_test.cpp The operators' rules: parsed, every fault at its place, edited without touching other lines. */
 #include "config/rule_cmd.h"
 #include "config/rule_func.h"
+#include "config/rule_patch.h"
 
 #include <rapidcheck.h>
 
@@ -67,6 +68,20 @@
     CHECK_TRUE(testCommand(rules, { .kind = RuleCommandKind::ZoneOut, .zone = "z", .who = "a" }).ok());
 }
 
+TEST(Rule, PatchMakesTheNewTextOrDoesNotFit)
+{
+    CHECK_TRUE(rc::check("patch", [](const std::string& front, const std::string& before, const std::string& after, const std::string& end) {
+        const RulesPatch patch = makePatch(7, front + before + end, front + after + end);
+        RC_ASSERT(patch.middle.size() <= after.size());
+        RC_ASSERT(applyPatch(patch, 7, front + before + end) == std::optional(front + after + end));
+        RC_ASSERT(!applyPatch(patch, 6, front + before + end).has_value());
+        // On any other text it does not fit, or makes the very same: never a third one.
+        const std::optional<std::string> made = applyPatch(patch, 7, front + after + end + "x");
+        const bool isThird = made.has_value() && *made != front + after + end;
+        RC_ASSERT(!isThird);
+    }));
+}
+
 TEST(Rule, AnyTextIsReadOrRefused)
 {
     CHECK_TRUE(rc::check("any text", [](const std::string& text) {
--- a/tests/test_network.h
+++ b/tests/test_network.h
@@ -77,7 +77,7 @@
     void setRules(Revision revision, const std::string& rules)
     {
         for (const auto& agent : this->agents) {
-            this->collect([&](Actions& actions) { agent->onSnapshot(this->now, { .revision = revision, .rules = rules }, actions); });
+            this->collect([&](Actions& actions) { agent->onSnapshot(this->now, { .revision = revision, .rules = makePatch(0, "", rules) }, actions); });
         }
     }
 
