--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -37,9 +37,12 @@
 
     class AgentProcess final : public Process, public SeedFinder::Listener {
     public:
-        explicit AgentProcess(const AgentProcessSettings& settings)
+        /** @param text The settings file, @param path where it was read. */
+        AgentProcess(const AgentProcessSettings& settings, std::string text, std::string path)
             : Process(settings.listen)
             , settings(settings)
+            , settingsText(std::move(text))
+            , settingsPath(std::move(path))
             , agent({ settings.listen, settings.zone, settings.service, Process::makeIncarnation(), settings.slots }, this->random)
             , upstream(std::make_unique<HttpUpstream>(settings.upstreamUrl))
             , returnPath(std::make_unique<FabricReturnPath>(settings.returnPath))
@@ -87,6 +90,18 @@
             });
         }
 
+        void onReload() override
+        {
+            if (!rereadSettings(agentSettingTable, this->settingsPath, this->settingsText)) {
+                return;
+            }
+            const AgentProcessSettings fresh = *parseAgentSettings(this->settingsText);
+            setupLog(fresh.logFormat, fresh.logLevel);
+            this->settings.linger = fresh.linger;
+            this->settings.drainTime = fresh.drainTime;
+            this->agent.onSeeds(fresh.seeds);
+        }
+
         std::string openWork() const override
         {
             const size_t flows = this->agent.flowTable().size();
@@ -147,6 +162,8 @@
         }
 
         AgentProcessSettings settings;
+        std::string settingsText;
+        std::string settingsPath;
         Agent agent;
         std::unique_ptr<Upstream> upstream;
         std::unique_ptr<ReturnPath> returnPath;
@@ -169,10 +186,10 @@
 {
     using namespace lavender; // NOLINT(google-build-using-namespace): the program's only function
     const auto check = [](const std::string& text) { return std::string(parseAgentSettings(text).status().message()); };
-    const auto run = [](const std::string& text) {
+    const auto run = [](const std::string& text, const std::string& path) {
         const AgentProcessSettings settings = *parseAgentSettings(text);
         setupLog(settings.logFormat, settings.logLevel);
-        AgentProcess process(settings);
+        AgentProcess process(settings, text, path);
         process.startTimers();
         return static_cast<int>(process.run());
     };
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -16,9 +16,12 @@
 
     class BalancerProcess final : public Process, public StoreFollower::Listener, public SeedFinder::Listener {
     public:
-        explicit BalancerProcess(const BalancerProcessSettings& settings)
+        /** @param text The settings file, @param path where it was read. */
+        BalancerProcess(const BalancerProcessSettings& settings, std::string text, std::string path)
             : Process(settings.listen)
             , settings(settings)
+            , settingsText(std::move(text))
+            , settingsPath(std::move(path))
             , balancer({ settings.listen, settings.zone, Process::makeIncarnation() }, makeSteering(settings.steering), this->random)
         {
             if (!settings.storeUrl.empty()) {
@@ -32,6 +35,17 @@
     protected:
         void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->balancer.onMessage(now, message, actions); }
         void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& /*actions*/) override { this->balancer.onSnapshot(now, snapshot); }
+        void onReload() override
+        {
+            if (!rereadSettings(balancerSettingTable, this->settingsPath, this->settingsText)) {
+                return;
+            }
+            const BalancerProcessSettings fresh = *parseBalancerSettings(this->settingsText);
+            setupLog(fresh.logFormat, fresh.logLevel);
+            this->settings.linger = fresh.linger;
+            this->settings.seeds = fresh.seeds;
+        }
+
         std::string openWork() const override { return ""; }
         std::string status(TimePoint now, uint64_t dropped) const override { return this->balancer.status(now, dropped); }
         Snapshot makeSnapshot(const SnapshotAsk& ask) const override { return this->balancer.makeSnapshot(ask); }
@@ -96,6 +110,8 @@
         }
 
         BalancerProcessSettings settings;
+        std::string settingsText;
+        std::string settingsPath;
         Balancer balancer;
         std::unique_ptr<HttpStore> store;
         std::unique_ptr<StoreFollower> follower;
@@ -112,10 +128,10 @@
 {
     using namespace lavender; // NOLINT(google-build-using-namespace): the program's only function
     const auto check = [](const std::string& text) { return std::string(parseBalancerSettings(text).status().message()); };
-    const auto run = [](const std::string& text) {
+    const auto run = [](const std::string& text, const std::string& path) {
         const BalancerProcessSettings settings = *parseBalancerSettings(text);
         setupLog(settings.logFormat, settings.logLevel);
-        BalancerProcess process(settings);
+        BalancerProcess process(settings, text, path);
         return static_cast<int>(process.run());
     };
     return runProgram(argc, argv, balancerSettingTable, check, run);
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -91,6 +91,7 @@
     });
     g_unix_signal_add(SIGTERM, &Process::onSignal, this);
     g_unix_signal_add(SIGINT, &Process::onSignal, this);
+    g_unix_signal_add(SIGHUP, &Process::onHangup, this);
     logInfo("started", formatAddress(this->listen));
     g_main_loop_run(this->loop);
     this->ticker.stop();
@@ -121,6 +122,12 @@
     return G_SOURCE_CONTINUE;
 }
 
+gboolean Process::onHangup(gpointer self)
+{
+    static_cast<Process*>(self)->onReload();
+    return G_SOURCE_CONTINUE;
+}
+
 void Process::sendMessage(Address to, const Message& message)
 {
     this->udp->send(to, this->encapsulation.encode(message));
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -71,6 +71,8 @@
     virtual void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) = 0;
     /** First signal to stop. */
     virtual void onStop(TimePoint now, Actions& actions) = 0;
+    /** SIGHUP: the settings file is to be read again. */
+    virtual void onReload() = 0;
     /** What the second signal cuts; empty where nothing is. */
     virtual std::string openWork() const = 0;
     /** State of the process as JSON; @p dropped datagrams were too large or did not decode. */
@@ -95,6 +97,7 @@
 
 private:
     static gboolean onSignal(gpointer self);
+    static gboolean onHangup(gpointer self);
     void onDatagram(Address from, std::span<const uint8_t> bytes);
 
     Address listen;
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -2,6 +2,7 @@
 #include "daemon/program_func.h"
 
 #include "core/text_func.h"
+#include "daemon/log_func.h"
 #include "daemon/process_base.h"
 #include "settings/setting_func.h"
 
@@ -39,7 +40,27 @@
     return true;
 }
 
-int runProgram(int argc, char** argv, const SettingTable& table, const std::function<std::string(const std::string&)>& check, const std::function<int(const std::string&)>& run)
+bool rereadSettings(const SettingTable& table, const std::string& path, std::string& text)
+{
+    std::string fresh;
+    if (path == "-" || !readFile(path, fresh)) {
+        logWarning("settings-refused", concat(path, ": cannot be read again"));
+        return false;
+    }
+    const absl::StatusOr<SettingValues> after = parseSettings(table, fresh);
+    if (!after.ok()) {
+        logWarning("settings-refused", std::string(after.status().message()));
+        return false;
+    }
+    for (const std::string& setting : fixedChanges(table, *parseSettings(table, text), *after)) {
+        logWarning("settings-need-restart", setting);
+    }
+    logInfo("settings-reread", path);
+    text = std::move(fresh);
+    return true;
+}
+
+int runProgram(int argc, char** argv, const SettingTable& table, const std::function<std::string(const std::string&)>& check, const std::function<int(const std::string& text, const std::string& path)>& run)
 {
     constexpr int usage = static_cast<int>(ExitCode::Usage);
     options::options_description description(concat("Usage: ", table.program, " --config FILE\n\nOptions"));
@@ -77,7 +98,7 @@
         }
         return usage;
     }
-    return values.count("check-config") != 0 ? 0 : run(text);
+    return values.count("check-config") != 0 ? 0 : run(text, path);
 }
 
 } // namespace lavender
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -187,14 +187,25 @@
 
 std::string formatSettingTable(const SettingTable& table)
 {
-    std::string result = concat("## ", table.program, "\n\n| setting | value | default | meaning |\n| --- | --- | --- | --- |\n");
+    std::string result = concat("## ", table.program, "\n\n| setting | value | default | SIGHUP | meaning |\n| --- | --- | --- | --- | --- |\n");
     for (const SettingDescription& setting : table.settings) {
         const std::string_view fallback = setting.isRequired ? "required" : (setting.fallback.empty() ? "none" : setting.fallback);
-        appendText(result, "| `", setting.path, "` | ", kindText(setting), " | ", fallback, " | ", setting.help, " |\n");
+        appendText(result, "| `", setting.path, "` | ", kindText(setting), " | ", fallback, " | ", setting.isReloadable ? "yes" : "", " | ", setting.help, " |\n");
     }
     return result;
 }
 
+std::vector<std::string> fixedChanges(const SettingTable& table, const SettingValues& before, const SettingValues& after)
+{
+    std::vector<std::string> paths;
+    for (const SettingDescription& setting : table.settings) {
+        if (!setting.isReloadable && before.text(setting.path) != after.text(setting.path)) {
+            paths.emplace_back(setting.path);
+        }
+    }
+    return paths;
+}
+
 absl::StatusOr<BalancerProcessSettings> parseBalancerSettings(std::string_view json)
 {
     const absl::StatusOr<SettingValues> values = parseSettings(balancerSettingTable, json);
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -33,6 +33,9 @@
  */
 absl::StatusOr<SettingValues> parseSettings(const SettingTable& table, std::string_view json);
 
+/** Paths of the settings that differ and that a running process cannot take anew. */
+std::vector<std::string> fixedChanges(const SettingTable& table, const SettingValues& before, const SettingValues& after);
+
 /** Writes the settings of a program as Markdown, for docs/SETTINGS.md. */
 std::string formatSettingTable(const SettingTable& table);
 
--- a/src/settings/setting_type.h
+++ b/src/settings/setting_type.h
@@ -28,6 +28,7 @@
     int64_t high; ///< For numbers.
     std::string_view choices; ///< For choices.
     std::string_view help;
+    bool isReloadable = false; ///< Taken anew at SIGHUP; the others need a restart.
 };
 
 /** All settings of one program. */
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -11,9 +11,9 @@
     constexpr SettingDescription zoneSetting { "/zone", SettingKind::Name, "", true, 0, 0, "", "Availability zone that this process runs in" };
     constexpr SettingDescription storeSetting { "/store/url", SettingKind::Url, "", false, 0, 0, "", "Platform store; without it the process learns from its seeds only" };
     constexpr SettingDescription storeTimeoutSetting { "/store/timeout_ms", SettingKind::Number, "2000", false, 10, 60'000, "", "A store call without an answer fails after this time" };
-    constexpr SettingDescription seedsSetting { "/seeds", SettingKind::AddressList, "[]", false, 0, 0, "", "Balancers to ask first, besides those that the store names" };
-    constexpr SettingDescription logFormatSetting { "/log/format", SettingKind::Choice, "text", false, 0, 0, "text|json", "Form of the log lines on standard error" };
-    constexpr SettingDescription logLevelSetting { "/log/level", SettingKind::Choice, "info", false, 0, 0, "debug|info|warn|error", "Least level that is logged" };
+    constexpr SettingDescription seedsSetting { "/seeds", SettingKind::AddressList, "[]", false, 0, 0, "", "Balancers to ask first, besides those that the store names", true };
+    constexpr SettingDescription logFormatSetting { "/log/format", SettingKind::Choice, "text", false, 0, 0, "text|json", "Form of the log lines on standard error", true };
+    constexpr SettingDescription logLevelSetting { "/log/level", SettingKind::Choice, "info", false, 0, 0, "debug|info|warn|error", "Least level that is logged", true };
 
     constexpr std::array balancerSettings {
         listenSetting,
@@ -24,7 +24,7 @@
         SettingDescription { "/store/read_s", SettingKind::Number, "30", false, 1, 3600, "", "A balancer that does not watch the store reads the rules about this often" },
         seedsSetting,
         SettingDescription { "/steering", SettingKind::Choice, "product", false, 0, 0, "product|naive|hash", "How flows are spread; naive and hash are for comparisons" },
-        SettingDescription { "/stop/linger_ms", SettingKind::Number, "2000", false, 0, 600'000, "", "After the signal to stop, packets are still forwarded for this time" },
+        SettingDescription { "/stop/linger_ms", SettingKind::Number, "2000", false, 0, 600'000, "", "After the signal to stop, packets are still forwarded for this time", true },
         logFormatSetting,
         logLevelSetting,
     };
@@ -40,8 +40,8 @@
         storeSetting,
         storeTimeoutSetting,
         seedsSetting,
-        SettingDescription { "/stop/drain_s", SettingKind::Number, "300", false, 1, 86'400, "", "After the signal to stop, open work is given up after this time" },
-        SettingDescription { "/stop/linger_ms", SettingKind::Number, "3000", false, 0, 600'000, "", "After the last flow has moved, late packets are still passed on for this time" },
+        SettingDescription { "/stop/drain_s", SettingKind::Number, "300", false, 1, 86'400, "", "After the signal to stop, open work is given up after this time", true },
+        SettingDescription { "/stop/linger_ms", SettingKind::Number, "3000", false, 0, 600'000, "", "After the last flow has moved, late packets are still passed on for this time", true },
         logFormatSetting,
         logLevelSetting,
     };
--- a/tests/program_test.py
+++ b/tests/program_test.py
@@ -1,6 +1,7 @@
 """The programs as an operator meets them: command lines, settings, exit codes, the install tree, the pages."""
 
 import json
+import signal
 import subprocess
 from pathlib import Path
 
@@ -47,6 +48,30 @@
         assert first.wait(10) == 0
 
 
+def test_reload_takes_what_may_change(build, folder):
+    port = free_ports(1)[0]
+    path = folder / "balancer.json"
+    settings = {"listen": f"127.0.0.1:{port}", "zone": "a", "stop": {"linger_ms": 0}}
+    path.write_text(json.dumps(settings))
+    with subprocess.Popen([str(build / "src" / "lavender-balancer"), "--config", str(path)], stderr=subprocess.PIPE, text=True) as process:
+        assert "started" in process.stderr.readline()
+        path.write_text('{"listen": 7}')
+        process.send_signal(signal.SIGHUP)
+        seen = [process.stderr.readline()]
+        while "expected A" not in seen[-1] and "/zone: missing" not in seen[-1]:
+            seen.append(process.stderr.readline())
+        assert "settings-refused" in seen[0], seen
+        path.write_text(json.dumps({**settings, "zone": "b", "log": {"format": "json"}}))
+        process.send_signal(signal.SIGHUP)
+        seen = [process.stderr.readline()]
+        while "settings-reread" not in seen[-1]:
+            seen.append(process.stderr.readline())
+        assert any("settings-need-restart: /zone" in line for line in seen), seen
+        process.terminate()
+        assert json.loads(process.stderr.readline())["message"].startswith("stop-begun")
+        assert process.wait(10) == 0
+
+
 def test_ctl_check(build, folder):
     ctl = build / "src" / "lavenderctl"
     good = "service orders at 10.0.0.1:80 # ann\nannounce orders in a # ann\n"
