Read as a newcomer: one name check, one fault record, no unused parameters; proofs seen failing with mechanisms off

Change: each once; earlier rules are kept as text. On a scratch copy eight mechanisms were switched off one by one. Six were caught by their tests. Two were not: work at a leaving agent whose flows nobody takes, and a paused balancer that watches agents; both have a test now that fails with the mechanism off and passes with it.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -65,6 +65,10 @@
                 snapshot.members.push_back(agentRecordOf(index, count));
             }
             this->balancer.onSnapshot(1s, snapshot);
+            // Two more revisions, since a balancer keeps earlier rules for patches.
+            for (Revision revision = 3; revision <= 4; ++revision) {
+                (void)this->balancer.onConfiguration(1s, revision, concat(rulesFor(count), "# ", revision, "\n"));
+            }
         }
     };
 
@@ -222,7 +226,11 @@
     const double rules = addRuleRows(rows);
     const double gossip = addGossipRows(rows);
     const double announcements = addAnnounceRows(rows);
-    rows.push_back({ "balancer: all control traffic at target, sent plus received", rules + gossip + announcements, "B/s", 4096, false, "rules, gossip, announcements" });
+    const double control = rules + gossip + announcements;
+    rows.push_back({ "balancer: all control traffic at target, sent plus received", control, "B/s", 4096, false, "payload of rules, gossip, announcements" });
+    constexpr double datagrams = 4 * 5 + 2 * 2 * targetEndpoints / targetNodes; // Probes and answers both ways, announcements and replies.
+    constexpr double headerBytes = 28;
+    rows.push_back({ "balancer: the same with IP and UDP headers", control + datagrams * headerBytes, "B/s", 4096, false, concat(datagrams, " datagrams a second") });
     addFlowRows(rows);
     addStoreRows(rows);
     return rows;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -53,13 +53,13 @@
     if (const auto* forwarded = std::get_if<ForwardedPacket>(&message)) {
         this->handle(now, *forwarded, actions);
     } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
-        this->handle(now, *query, actions);
+        this->handle(*query, actions);
     } else if (const auto* queryReply = std::get_if<FlowQueryReply>(&message)) {
         this->handle(now, *queryReply, actions);
     } else if (const auto* move = std::get_if<FlowMove>(&message)) {
         this->handle(now, *move, actions);
     } else if (const auto* moveReply = std::get_if<FlowMoveReply>(&message)) {
-        this->handle(now, *moveReply, actions);
+        this->handle(now, *moveReply);
     } else if (const auto* news = std::get_if<LoadNews>(&message)) {
         this->peers.onLoadNews(now, *news);
     } else if (const auto* reply = std::get_if<AnnounceReply>(&message)) {
@@ -223,7 +223,7 @@
     load.inFlight = static_cast<uint16_t>(this->requests.inFlight() + this->requests.queued());
     load.limit = this->requests.admission().limit();
     if (isWorthSending(this->sentLoad, load) || now - this->lastLoad >= loadRefresh) {
-        this->peers.sendLoad(now, load, actions);
+        this->peers.sendLoad(load, actions);
         this->sentLoad = load;
         this->lastLoad = now;
     }
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -120,7 +120,7 @@
     // agent_search.cpp
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void tickSearches(TimePoint now, Actions& actions);
-    void handle(TimePoint now, const FlowQuery& query, Actions& actions);
+    void handle(const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
     bool maySayLost(TimePoint now) const;
     void askEveryone(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
@@ -132,7 +132,7 @@
     void sendMove(TimePoint now, Flow& flow, Address target, Actions& actions);
     Address moveTarget(const FlowKey& flow) const;
     void handle(TimePoint now, const FlowMove& move, Actions& actions);
-    void handle(TimePoint now, const FlowMoveReply& reply, Actions& actions);
+    void handle(TimePoint now, const FlowMoveReply& reply);
 
     AgentSettings settings;
     uint64_t serviceHash;
--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -95,9 +95,8 @@
     actions.push_back(SendMessage { move.from, reply });
 }
 
-void Agent::handle(TimePoint now, const FlowMoveReply& reply, Actions& actions)
+void Agent::handle(TimePoint now, const FlowMoveReply& reply)
 {
-    (void)actions;
     const auto found = this->flows.find(reply.flow);
     if (found == this->flows.end() || found->second.movingTo != reply.responder || found->second.moves + 1 != reply.moves) {
         return;
--- a/src/agent/agent_search.cpp
+++ b/src/agent/agent_search.cpp
@@ -56,7 +56,7 @@
     }
 }
 
-void Agent::handle(TimePoint now, const FlowQuery& query, Actions& actions)
+void Agent::handle(const FlowQuery& query, Actions& actions)
 {
     if (query.service != this->serviceHash) {
         this->count.add(Counter::PacketsWrongService);
@@ -69,7 +69,6 @@
         const bool isUseful = trace->second.owner.isValid() && trace->second.owner != query.asker && this->mayReceive(trace->second.owner);
         reply.owner = isUseful ? trace->second.owner : Address {};
     }
-    (void)now;
     actions.push_back(SendMessage { query.asker, reply });
 }
 
--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -129,9 +129,8 @@
     this->isUrgent = this->isUrgent && this->balancers.empty();
 }
 
-void PeerSystem::sendLoad(TimePoint now, const LoadNews& load, Actions& actions)
+void PeerSystem::sendLoad(const LoadNews& load, Actions& actions)
 {
-    (void)now;
     const std::vector<MemberRecord> targets = this->others();
     if (targets.empty()) {
         return;
--- a/src/agent/peer_base.h
+++ b/src/agent/peer_base.h
@@ -35,7 +35,7 @@
     void tick(TimePoint now, Revision revision, Actions& actions);
 
     /** Sends the load to some peers, in turn. */
-    void sendLoad(TimePoint now, const LoadNews& load, Actions& actions);
+    void sendLoad(const LoadNews& load, Actions& actions);
 
     /** Changes what the agent says of itself; a change is announced at once. */
     void setSelf(MemberState state, uint16_t weight, uint16_t slots);
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -153,7 +153,7 @@
         return;
     }
     this->nextSeeds = now + fetchPeriod;
-    this->members.addSeeds(now, seeds, this->follower.revision(), actions);
+    this->members.addSeeds(seeds, this->follower.revision(), actions);
     // A process that knows nobody takes the whole table at once instead of waiting for gossip.
     if (this->members.balancers("").empty() && now >= this->nextFetch) {
         for (Address seed : seeds) {
--- a/src/config/follower.cpp
+++ b/src/config/follower.cpp
@@ -25,7 +25,9 @@
         return absl::InvalidArgumentError(formatFaults("rules", parsed.faults));
     }
     parsed.configuration.revision = revision;
-    this->previous.push_front(this->configuration);
+    if (this->hasAny()) {
+        this->previous.push_front({ this->revision(), this->configuration->text });
+    }
     this->previous.resize(std::min(this->previous.size(), rememberedRevisions));
     this->configuration = std::make_shared<Configuration>(std::move(parsed.configuration));
     this->since = now;
@@ -43,9 +45,9 @@
 
 RulesPatch ConfigurationFollower::patchFrom(Revision have) const
 {
-    const auto known = std::find_if(this->previous.begin(), this->previous.end(), [have](const auto& entry) { return entry->revision == have; });
+    const auto known = std::find_if(this->previous.begin(), this->previous.end(), [have](const PreviousRules& entry) { return entry.revision == have; });
     const bool isKnown = have != 0 && known != this->previous.end();
-    return makePatch(isKnown ? have : 0, isKnown ? std::string_view((*known)->text) : std::string_view(), this->configuration->text);
+    return makePatch(isKnown ? have : 0, isKnown ? std::string_view(known->text) : std::string_view(), this->configuration->text);
 }
 
 } // namespace lavender
--- a/src/config/follower_base.h
+++ b/src/config/follower_base.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace lavender {
@@ -34,9 +35,15 @@
     TimePoint inForceSince() const { return this->since; }
 
 private:
+    /** Rules that were in force, for patches. */
+    struct PreviousRules {
+        Revision revision = 0;
+        std::string text;
+    };
+
     std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
     TimePoint since {};
-    std::deque<std::shared_ptr<const Configuration>> previous; ///< Latest first.
+    std::deque<PreviousRules> previous; ///< Latest first.
 };
 
 } // namespace lavender
--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -62,14 +62,6 @@
         return line;
     }
 
-    bool isName(std::string_view text)
-    {
-        const auto isNameCharacter = [](char character) {
-            return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
-        };
-        return !text.empty() && text.size() <= maximumNameBytes && std::all_of(text.begin(), text.end(), isNameCharacter);
-    }
-
     /** Walks over the words of one line and notes what is wrong with them. */
     class LineReader {
     public:
@@ -104,7 +96,7 @@
 
         std::optional<std::string> takeName(std::string_view expected)
         {
-            if (this->isAtEnd() || !isName(this->line.words[this->next].text)) {
+            if (this->isAtEnd() || !isNameText(this->line.words[this->next].text, maximumNameBytes)) {
                 this->failHere(concat(expected, " of a-z, 0-9 and -, at most ", maximumNameBytes, " characters"));
                 return std::nullopt;
             }
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -1,6 +1,8 @@
 /** @file text.cpp Splitting and joining. */
 #include "core/text_func.h"
 
+#include <algorithm>
+
 namespace lavender {
 
 std::vector<std::string_view> splitText(std::string_view text, char separator)
@@ -17,6 +19,14 @@
     }
 }
 
+bool isNameText(std::string_view text, size_t longest)
+{
+    const auto isNameCharacter = [](char character) {
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
+    };
+    return !text.empty() && text.size() <= longest && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
 std::string joinText(const std::vector<std::string_view>& parts, std::string_view separator)
 {
     return fmt::format("{}", fmt::join(parts, separator));
--- a/src/core/text_func.h
+++ b/src/core/text_func.h
@@ -38,6 +38,9 @@
 /** Parts of @p text between separators; one empty part for an empty text. */
 std::vector<std::string_view> splitText(std::string_view text, char separator);
 
+/** True for a name of services and zones: a-z, 0-9 and -, 1 to @p longest characters. */
+bool isNameText(std::string_view text, size_t longest);
+
 /** Parts with a separator between them. */
 std::string joinText(const std::vector<std::string_view>& parts, std::string_view separator);
 
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -45,7 +45,7 @@
     this->apply(TimePoint {}, this->own);
 }
 
-void GossipSystem::addSeeds(TimePoint now, std::span<const Address> seeds, Revision revision, Actions& actions)
+void GossipSystem::addSeeds(std::span<const Address> seeds, Revision revision, Actions& actions)
 {
     for (Address seed : seeds) {
         const Member* member = this->members.find(seed);
@@ -54,7 +54,6 @@
         }
         Gossip gossip { .sender = this->own.address, .sequence = this->nextSequence++, .revision = revision, .digest = this->members.digest(), .records = { this->own } };
         actions.push_back(SendMessage { seed, std::move(gossip) });
-        (void)now;
     }
 }
 
--- a/src/member/gossip_base.h
+++ b/src/member/gossip_base.h
@@ -23,7 +23,7 @@
     GossipSystem(MemberRecord self, Random& random, Counters& counters);
 
     /** Balancers to ask first; known ones are passed over. */
-    void addSeeds(TimePoint now, std::span<const Address> seeds, Revision revision, Actions& actions);
+    void addSeeds(std::span<const Address> seeds, Revision revision, Actions& actions);
 
     /** Takes a record from an agent, a snapshot or gossip and spreads it if it is new. @return True where it was. */
     bool learn(TimePoint now, const MemberRecord& record);
--- a/src/replay/caller_model.cpp
+++ b/src/replay/caller_model.cpp
@@ -21,16 +21,21 @@
     constexpr size_t recordedCases = 20;
     constexpr uint32_t lastPort = 65535;
 
-    void note(FaultRecord& faults, TimePoint now, const FlowKey& flow, std::string_view what)
+    std::string caseOf(TimePoint now, const FlowKey& flow, std::string_view what)
     {
-        ++faults.count;
-        if (faults.cases.size() < recordedCases) {
-            faults.cases.push_back(concat("at ", toMilliseconds(now), " ms: ", formatFlow(flow), ": ", what));
-        }
+        return concat("at ", toMilliseconds(now), " ms: ", formatFlow(flow), ": ", what);
     }
 
 } // namespace
 
+void FaultRecord::note(std::string text)
+{
+    ++this->count;
+    if (this->cases.size() < recordedCases) {
+        this->cases.push_back(std::move(text));
+    }
+}
+
 std::string expectedAnswer(std::string_view service, std::string_view key, std::string_view body)
 {
     return concat(service, "\n", key, "\n", body, body);
@@ -160,7 +165,7 @@
         answer.append(entry->begin(), entry->end());
     }
     if (answer != expectedAnswer(this->specs[flow.spec].service, request.key, request.body)) {
-        note(this->record.wrongAnswers, now, flow.key, concat("request ", request.id, " got another answer"));
+        this->record.wrongAnswers.note(caseOf(now, flow.key, concat("request ", request.id, " got another answer")));
     }
     this->record.latencies.push_back(static_cast<uint32_t>(toMilliseconds(now - request.begun)));
     this->endRequest(now, flow, Verdict::Answered, "answered", Duration {});
@@ -237,7 +242,7 @@
 
 void CallerModel::breakFlow(TimePoint now, CallerFlow& flow, std::string_view why)
 {
-    note(this->record.broken, now, flow.key, why);
+    this->record.broken.note(caseOf(now, flow.key, why));
     if (flow.request) {
         this->endRequest(now, flow, Verdict::MayHaveRun, concat("flow_", why), Duration {});
     }
@@ -260,7 +265,7 @@
     const bool isOpening = flow.state == FlowState::Opening;
     if (now - flow.begun > (isOpening ? openingTime : closingTime)) {
         if (isOpening) {
-            note(this->record.unopened, now, flow.key, "nobody took it");
+            this->record.unopened.note(caseOf(now, flow.key, "nobody took it"));
             flow.state = FlowState::Ended;
         } else {
             this->breakFlow(now, flow, "silent at its close");
--- a/src/replay/caller_model.h
+++ b/src/replay/caller_model.h
@@ -26,7 +26,9 @@
 /** How often something was seen to go wrong, with the first few cases. */
 struct FaultRecord {
     uint64_t count = 0;
-    std::vector<std::string> cases; ///< "at TIME: FLOW: what".
+    std::vector<std::string> cases; ///< "at TIME: FLOW: what"; the first few.
+
+    void note(std::string text);
 };
 
 /** What the callers saw. */
--- a/src/replay/world_measure.cpp
+++ b/src/replay/world_measure.cpp
@@ -10,20 +10,6 @@
 
 namespace lavender {
 
-namespace {
-
-    constexpr size_t recordedCases = 20;
-
-    void note(FaultRecord& faults, std::string text)
-    {
-        ++faults.count;
-        if (faults.cases.size() < recordedCases) {
-            faults.cases.push_back(std::move(text));
-        }
-    }
-
-} // namespace
-
 void World::noteRules(const StoreValue& value)
 {
     this->commits.push_back({ value.revision, this->queue.now() });
@@ -81,7 +67,7 @@
             }
             const auto [entry, isNew] = owners.emplace(key, agent.get());
             if (!isNew) {
-                note(this->measure.twoOwners, concat("at ", toMilliseconds(this->queue.now()), " ms: ", formatFlow(key), ": ", entry->second->name, " and ", agent->name));
+                this->measure.twoOwners.note(concat("at ", toMilliseconds(this->queue.now()), " ms: ", formatFlow(key), ": ", entry->second->name, " and ", agent->name));
             }
         }
     }
@@ -92,11 +78,11 @@
     const auto check = [this](const ReplayNode& node) {
         Revision& seen = this->seenRevision[&node];
         if (node.revision() < seen) {
-            note(this->measure.reverts, concat("at ", toMilliseconds(this->queue.now()), " ms: ", node.name, ": ", seen, " to ", node.revision()));
+            this->measure.reverts.note(concat("at ", toMilliseconds(this->queue.now()), " ms: ", node.name, ": ", seen, " to ", node.revision()));
         }
         const bool isAccepted = node.revision() == 0 || std::any_of(this->commits.begin(), this->commits.end(), [&node](const Commit& commit) { return commit.revision == node.revision(); });
         if (!isAccepted) {
-            note(this->measure.reverts, concat("at ", toMilliseconds(this->queue.now()), " ms: ", node.name, ": revision ", node.revision(), " was never accepted"));
+            this->measure.reverts.note(concat("at ", toMilliseconds(this->queue.now()), " ms: ", node.name, ": revision ", node.revision(), " was never accepted"));
         }
         seen = std::max(seen, node.revision());
     };
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -39,13 +39,6 @@
         return nearest->path;
     }
 
-    bool isNameText(std::string_view text)
-    {
-        return !text.empty() && text.size() <= maximumNameBytes && std::all_of(text.begin(), text.end(), [](char character) {
-            return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
-        });
-    }
-
     /** What was expected, or empty where the value fits. */
     std::string expectation(const SettingDescription& setting, const Json& value)
     {
@@ -53,7 +46,7 @@
         const std::string text = isText ? value.get<std::string>() : "";
         switch (setting.kind) {
         case SettingKind::Name:
-            return isText && isNameText(text) ? "" : concat("a name of a-z, 0-9 and -, at most ", maximumNameBytes, " characters");
+            return isText && isNameText(text, maximumNameBytes) ? "" : concat("a name of a-z, 0-9 and -, at most ", maximumNameBytes, " characters");
         case SettingKind::AddressText:
             return isText && parseAddress(text).ok() ? "" : "\"A.B.C.D:PORT\"";
         case SettingKind::AddressList: {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -127,6 +127,17 @@
     CHECK_EQUAL(0, leaving.requestSystem().inFlight());
 }
 
+TEST(Agent, LeavingAgentBeginsNoWorkThoughNobodyTakesItsFlows)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    network.agents[0]->beginStop();
+    network.advance(50ms);
+    sendThrough(network, view, requestPacket(testFlow(), 1));
+    CHECK_EQUAL(0U, network.handOvers.size());
+}
+
 TEST(Agent, MovedRequestDoesNotRunAgain)
 {
     TestNetwork network(2);
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -76,6 +76,20 @@
     }
 }
 
+TEST(Gossip, PausedBalancerDoesNotSuspectItsAgents)
+{
+    GossipFleet fleet(3, 0);
+    MemberRecord agent { .address = { 0x0a620001, 7000 }, .role = MemberRole::Agent, .zone = "a", .service = "orders", .incarnation = 1, .version = 1 };
+    fleet.nodes[0]->learn(fleet.now, agent);
+    fleet.nodes[0]->onHeartbeat(fleet.now, agent.address);
+    fleet.advance(1s);
+    fleet.isStopped = { true, true, true };
+    fleet.advance(30s);
+    fleet.isStopped[0] = false;
+    fleet.advance(200ms);
+    CHECK_TRUE(fleet.nodes[0]->table().find(agent.address)->record.liveness == Liveness::Alive);
+}
+
 TEST(Gossip, TablesMeetAgainAfterNewsWasMissed)
 {
     GossipFleet fleet(10, 0);
