Replay: a counter that nobody read, a line that stood twice

Cause: setupRules counted services without using the number; AgentNode::handOver noted an open exchange in both branches. Change: neither any more. Behaviour is the same. The Python tests and lint were not run again.

--- a/src/replay/node.cpp
+++ b/src/replay/node.cpp
@@ -159,12 +159,11 @@
 
 void AgentNode::handOver(const HandOver& request)
 {
+    this->open.push_back(request.id.value);
     if (this->isUpstreamDown) {
-        this->open.push_back(request.id.value);
         this->queue.scheduleIn(upstreamConnectTime, [this, request] { this->finishExchange(request.id, UpstreamOutcome::Unreachable, request); });
         return;
     }
-    this->open.push_back(request.id.value);
     this->queue.scheduleIn(upstreamConnectTime, [this, request] {
         if (!this->isAlive()) {
             return;
--- a/src/replay/world_event.cpp
+++ b/src/replay/world_event.cpp
@@ -38,13 +38,11 @@
 std::string World::setupRules() const
 {
     std::string rules;
-    uint32_t index = 0;
     for (const auto& service : this->setup["services"]) {
         const std::string name = service["name"];
         const nlohmann::json where { { "service", name } };
         appendText(rules, "service ", name, " at ", formatAddress(this->callerSpec(where).address), " slots ", service["slots"].get<uint32_t>());
         appendText(rules, " connections ", service.value("connections", 2000U), " ramp ", service.value("ramp_ms", 2000U), " # setup\n");
-        ++index;
     }
     std::set<std::pair<std::string, std::string>> announcers;
     for (const auto& upstream : this->setup["upstreams"]) {
