--- a/src/packet/cold_gate.cpp
+++ b/src/packet/cold_gate.cpp
@@ -30,10 +30,10 @@
 
 bool ColdGate::mayOpen(TimePoint now) const
 {
-    if (!this->isCold(now)) {
+    if (!this->rate || !this->isCold(now)) {
         return true;
     }
-    if (!this->rate || now < this->blockedUntil) {
+    if (now < this->blockedUntil) {
         return false;
     }
     const auto first = std::find_if(this->recent.begin(), this->recent.end(), [now](TimePoint opened) { return now - opened < window; });
--- a/src/packet/cold_gate.h
+++ b/src/packet/cold_gate.h
@@ -12,7 +12,7 @@
 /** What keeps a cold upstream from more new flows than it bears. */
 class ColdGate {
 public:
-    /** Sets the openings a second that a cold upstream bears; none: not known yet, nothing is let in. */
+    /** Sets the openings a second that a cold upstream bears; none where there is no such limit. */
     void setRate(std::optional<uint32_t> openingsPerSecond) { this->rate = openingsPerSecond; }
 
     /** The upstream said how long it stays cold; that replaces all that was held of it. */
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -82,7 +82,6 @@
         return;
     }
     this->count.add(Counter::ConfigurationsAccepted);
-    this->events.note(EventLevel::Info, "rules_in_force", { { "revision", std::to_string(snapshot.revision) } });
     this->applyConfiguration(now);
 }
 
@@ -90,7 +89,8 @@
 {
     const Configuration& configuration = this->follower.current();
     const ServiceRule* rule = configuration.findService(this->settings.service);
-    this->gate.setRate(rule == nullptr ? std::nullopt : std::optional(rule->coldOpeningsPerSecond.value_or(0)));
+    this->gate.setRate(rule == nullptr ? std::nullopt : rule->coldOpeningsPerSecond);
+    this->events.note(EventLevel::Info, "rules_in_force", { { "revision", std::to_string(configuration.revision) }, { "cold_openings_per_s", rule != nullptr && rule->coldOpeningsPerSecond ? std::to_string(*rule->coldOpeningsPerSecond) : "unlimited" }, { "zone_draining", configuration.isZoneDraining(this->settings.zone) ? "true" : "false" } });
     const bool isZoneDraining = configuration.isZoneDraining(this->settings.zone);
     if (this->wasZoneDraining && !isZoneDraining) {
         // Upstreams of a zone that returns may be cold before they say so.
