Platform: rules read by the fleet in turn, news spread at once, resets for flows that nobody holds

Cause of failures for 10 s after a common loss of power: callers used flows that no upstream held any more, and waited in silence.

--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -11,6 +11,8 @@
 
     constexpr size_t sponsorCount = 2;
     constexpr Duration announcePeriod = 1s;
+    constexpr size_t strangerSponsors = 8; ///< Until the first answer more balancers are asked, and more often.
+    constexpr Duration strangerPeriod = 100ms;
     constexpr Duration replyTimeout = 2500ms;
     constexpr Duration avoidTime = 5s; ///< A balancer that did not answer is passed over for this long.
     constexpr size_t maximumBalancers = 64; ///< Balancers that an agent remembers.
@@ -42,8 +44,10 @@
         }
         return;
     }
-    if (isNewer(record, this->own) && record.incarnation == this->own.incarnation) {
-        // Somebody holds this agent suspect or gone, or has a version of it that it has not: say otherwise.
+    if (isNewer(record, this->own)) {
+        // Somebody holds this agent suspect or gone, or has a version of it that it has not: say otherwise. A higher
+        // incarnation is that of an earlier process here, started before the time of day went back.
+        this->own.incarnation = record.incarnation;
         this->own.version = record.version + 1;
         this->peers.merge(now, this->own);
         this->isUrgent = true;
@@ -93,7 +97,8 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<Address> result;
-    for (size_t place = 0; place < std::min(ranked.size(), sponsorCount); ++place) {
+    const size_t wanted = this->agreedSince ? sponsorCount : strangerSponsors;
+    for (size_t place = 0; place < std::min(ranked.size(), wanted); ++place) {
         result.push_back(ranked[place].second);
     }
     return result;
@@ -122,7 +127,7 @@
         }
     }
     for (Address sponsor : this->sponsors(now)) {
-        if (this->isUrgent || now - this->balancers[sponsor].sent >= announcePeriod) {
+        if (this->isUrgent || now - this->balancers[sponsor].sent >= (this->agreedSince ? announcePeriod : strangerPeriod)) {
             this->announce(now, sponsor, haveRevision, actions);
         }
     }
@@ -193,16 +198,20 @@
 
 bool PeerSystem::isMinority(TimePoint now, Duration age) const
 {
-    size_t left = 0;
-    size_t lost = 0;
-    for (const auto& [address, member] : this->peers.all()) {
-        const bool isGone = member.record.liveness == Liveness::Gone;
+    const auto& all = this->peers.all();
+    const auto left = std::count_if(all.begin(), all.end(), [](const auto& entry) { return entry.second.record.liveness != Liveness::Gone; });
+    return this->countLost(now, age) >= static_cast<size_t>(left);
+}
+
+size_t PeerSystem::countLost(TimePoint now, Duration age) const
+{
+    const auto& all = this->peers.all();
+    const auto lost = std::count_if(all.begin(), all.end(), [now, age](const auto& entry) {
+        const Member& member = entry.second;
         // Those that said goodbye were not lost.
-        const bool isLost = isGone && member.record.state != MemberState::Draining && now - member.changed < age;
-        left += isGone ? 0 : 1;
-        lost += isLost ? 1 : 0;
-    }
-    return lost >= left;
+        return member.record.liveness == Liveness::Gone && member.record.state != MemberState::Draining && now - member.changed < age;
+    });
+    return static_cast<size_t>(lost);
 }
 
 std::vector<MemberRecord> PeerSystem::everyone() const
--- a/src/agent/peer_base.h
+++ b/src/agent/peer_base.h
@@ -55,6 +55,8 @@
     std::optional<TimePoint> synchronizedSince() const { return this->agreedSince; }
     /** True where at least as many agents of the service were lost within @p age as are left: a cut network looks like that. */
     bool isMinority(TimePoint now, Duration age) const;
+    /** True where an agent of the service was lost within @p age without a goodbye. */
+    bool hasLost(TimePoint now, Duration age) const { return this->countLost(now, age) > 0; }
     uint64_t changeCount() const { return this->peers.changeCount(); }
 
 private:
@@ -64,6 +66,7 @@
         TimePoint avoidUntil {};
     };
 
+    size_t countLost(TimePoint now, Duration age) const;
     void announce(TimePoint now, Address balancer, Revision revision, Actions& actions);
     std::vector<Address> sponsors(TimePoint now) const;
 
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -35,7 +35,7 @@
             }
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
-                const StoreFollowerSettings followerSettings { settings.listen, settings.zone, settings.leaseTime, settings.readPeriod };
+                const StoreFollowerSettings followerSettings { settings.listen, settings.zone, settings.leaseTime, settings.readPeriod, settings.fleetReadPeriod };
                 this->follower = std::make_unique<StoreFollower>(*this->store, this->clock, this->random, followerSettings, *this);
                 this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
             }
@@ -133,6 +133,7 @@
         bool isAlone() const override { return this->balancer.gossip().balancers("").empty(); }
         bool isWatcher() const override { return this->balancer.isWatcher(); }
         bool hasRules() const override { return this->balancer.configuration().hasAny(); }
+        size_t balancerCount() const override { return this->balancer.gossip().balancers("").size() + 1; }
         void onLeaseLapsed() override { logWarning("lease-lapsed", "taking a new one"); }
 
         void onStoreState(bool isUp) override
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Duration probePeriod = 200ms;
+    constexpr Duration spreadPeriod = 50ms; ///< Between two probes while changes wait to be spread.
+    constexpr size_t spreadFanOut = 3; ///< Peers that are probed at once when the revision rises.
     constexpr Duration probeTimeout = 300ms;
     constexpr int probeTries = 4;
     constexpr Duration suspicionTime = 2500ms; ///< A suspect has this long to refute.
@@ -74,10 +76,9 @@
 
 void GossipSystem::refute(TimePoint now, const MemberRecord& record)
 {
-    if (record.incarnation > this->own.incarnation) {
-        return; // A later process has this address; this one is about to end.
-    }
     if (isNewer(record, this->own)) {
+        // A higher incarnation is that of an earlier process here, started before the time of day went back.
+        this->own.incarnation = record.incarnation;
         this->own.version = record.version + 1;
         this->apply(now, this->own);
     }
@@ -279,17 +280,18 @@
         this->adoptAgents(now);
         this->members.purge(now, goneAge);
     }
-    if (now < this->nextProbe) {
+    if (now < this->nextProbe && revision == this->toldRevision) {
         return;
     }
-    this->nextProbe = now + probePeriod;
     const std::vector<Address> peers = this->balancers("");
-    if (peers.empty()) {
-        return;
-    }
-    const Address peer = peers[this->random.below(static_cast<uint32_t>(peers.size()))];
-    if (!this->probes.contains(peer)) {
-        this->sendProbe(now, peer, revision, actions);
+    this->nextProbe = now + (this->spreading.empty() || peers.empty() ? probePeriod : spreadPeriod);
+    const size_t fanOut = revision != this->toldRevision ? spreadFanOut : 1;
+    this->toldRevision = revision;
+    for (size_t sent = 0; sent < std::min(fanOut, peers.size()); ++sent) {
+        const Address peer = peers[this->random.below(static_cast<uint32_t>(peers.size()))];
+        if (!this->probes.contains(peer)) {
+            this->sendProbe(now, peer, revision, actions);
+        }
     }
 }
 
--- a/src/member/gossip_base.h
+++ b/src/member/gossip_base.h
@@ -88,6 +88,7 @@
     TimePoint lastTick {};
     TimePoint judgeAfter {}; ///< No suspect is declared gone before this.
     TimePoint nextProbe {};
+    Revision toldRevision = 0; ///< Carried by the latest probes.
     TimePoint nextAdoption {};
     TimePoint nextComparison {};
 };
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -48,7 +48,7 @@
     if (const auto* forwarded = std::get_if<ForwardedPacket>(&message)) {
         this->handle(now, *forwarded, actions);
     } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
-        this->handle(*query, actions);
+        this->handle(now, *query, actions);
     } else if (const auto* queryReply = std::get_if<FlowQueryReply>(&message)) {
         this->handle(now, *queryReply, actions);
     } else if (const auto* reply = std::get_if<AnnounceReply>(&message)) {
@@ -291,7 +291,7 @@
     for (auto& [flow, search] : this->searches) {
         if (now - search.asked >= searchPeriod) {
             search.asked = now;
-            this->askPeers(flow, actions);
+            this->askPeers(flow, search, actions);
         }
     }
     const size_t before = this->searches.size();
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -71,6 +71,8 @@
     /** A flow that is searched for among the agents of the service. */
     struct Search {
         ForwardedPacket packet; ///< Latest packet of the flow.
+        std::set<Address> waiting; ///< Agents that have not said that they do not hold it.
+        std::set<Address> probed; ///< Agents whose upstream was asked by a packet.
         TimePoint begun {};
         TimePoint asked {};
     };
@@ -108,13 +110,19 @@
     void open(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     bool handleKnown(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void deliver(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions);
+    void probe(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
+    void probeFor(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void passOn(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
     bool forwardToNext(ForwardedPacket& forwarded, bool isOpening, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
     void refuse(TimePoint now, const Segment& segment, std::string_view reason, Actions& actions);
-    void askPeers(const FlowKey& flow, Actions& actions);
+    void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
+    void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
+    bool mayDeclareLost(TimePoint now) const;
+    bool isUnsureOf(TimePoint now, const FlowKey& flow) const;
+    void answerAsker(const FlowKey& flow, Address asker, bool isHere, Actions& actions) const;
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
-    void handle(const FlowQuery& query, Actions& actions);
+    void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
     bool mayHoldUnknown(TimePoint now) const { return now - this->startedAt < this->settings.flowAge; }
     void remember(TimePoint now, const FlowKey& flow, Address owner);
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -23,10 +23,10 @@
     bool isWaiting = false; ///< The upstream owes an answer.
     bool isCallerDone = false; ///< The caller has closed its end.
     bool isUpstreamDone = false; ///< The upstream has closed its end.
-    uint8_t probes = 0; ///< Packets delivered while Probing.
     uint32_t upstreamSequence = 0; ///< Of the upstream's answer to the opening packet.
     uint32_t callerAcknowledged = 0; ///< Latest that the caller acknowledged.
     Address balancer; ///< Where the opening packet came in; not valid where unknown.
+    Address asker; ///< Agent that searches for the flow and waits for word of it; else not valid.
     TimePoint offeredAt {};
     TimePoint waitingSince {};
     TimePoint lastPacket {};
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -4,6 +4,8 @@
 #include "agent/candidate_func.h"
 #include "core/text_func.h"
 
+#include <utility>
+
 namespace lavender {
 
 void PacketAgent::onUpstreamPacket(TimePoint now, std::span<const uint8_t> packet, Actions& actions)
@@ -44,6 +46,9 @@
         }
     } else if (flow.stage == FlowStage::Probing) {
         flow.stage = FlowStage::Open;
+        if (flow.asker.isValid()) {
+            this->answerAsker(key, std::exchange(flow.asker, {}), true, actions);
+        }
     }
     if (segment.dataBytes > 0) {
         this->setWaiting(now, flow, false);
@@ -71,7 +76,13 @@
         if (stage == FlowStage::Ended) {
             return;
         }
+        const Address asker = found->second.asker;
         this->forget(key);
+        if (asker.isValid()) {
+            this->remember(now, key, {});
+            this->answerAsker(key, asker, false, actions);
+            return;
+        }
     }
     this->remember(now, key, {});
     ForwardedPacket forwarded { .packet = { .flow = key, .mark = segment.isOpening ? PacketMark::Opening : PacketMark::Middle, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash };
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -12,11 +12,12 @@
 
     constexpr Duration traceTime = 10s; ///< Renewed by each packet that follows the trace.
     constexpr uint32_t acknowledgeWindow = 1U << 16U; ///< Of a first acknowledgement behind the upstream's number.
-    constexpr uint8_t probePackets = 2; ///< Delivered while the upstream has not said whether it holds the flow.
     constexpr uint8_t busyHops = 4; ///< Agents that an opening packet passes in search of a free slot.
     constexpr uint8_t openingHops = 9; ///< Agents that an opening packet passes in search of any that takes it.
     constexpr Duration settlingTime = 2s; ///< After a start the agent may not know the others: it refuses nothing.
     constexpr size_t maximumSearches = 1024;
+    constexpr Duration acquaintanceTime = 2s; ///< With a balancer in agreement for so long, an agent knows all others.
+    constexpr Duration lossMemory = 60s; ///< A member lost that lately may be cut off, and hold the flow.
 
 } // namespace
 
@@ -40,6 +41,14 @@
     ++forwarded.hops;
     const FlowKey& key = forwarded.packet.flow;
     if (const auto flow = this->flows.find(key); flow != this->flows.end() && this->handleKnown(now, flow->second, *segment, forwarded, actions)) {
+        if (forwarded.asker.isValid()) {
+            flow->second.asker = flow->second.stage == FlowStage::Probing ? forwarded.asker : Address {};
+            this->answerAsker(key, forwarded.asker, flow->second.stage == FlowStage::Open, actions);
+        }
+        return;
+    }
+    if (forwarded.asker.isValid()) {
+        this->probeFor(now, *segment, forwarded, actions);
         return;
     }
     if (segment->isOpening && forwarded.isPlaced) {
@@ -84,10 +93,10 @@
         flow.stage = FlowStage::Open;
         break;
     case FlowStage::Probing:
-        if (flow.probes >= probePackets) {
+        // A packet that was not given back is held: the upstream answers only those that call for it.
+        if (this->isUpstreamSilent(now)) {
             return false;
         }
-        ++flow.probes;
         break;
     case FlowStage::Open:
     case FlowStage::Ended:
@@ -176,18 +185,44 @@
     }
 }
 
+/** True where the own upstream may hold a flow that began before this process. */
+bool PacketAgent::isUnsureOf(TimePoint now, const FlowKey& flow) const
+{
+    return this->mayHoldUnknown(now) && !this->hasSaidGoodbye && !this->flows.contains(flow) && !this->traces.contains(flow);
+}
+
+void PacketAgent::probe(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
+{
+    PacketFlow& flow = this->flows[forwarded.packet.flow];
+    flow.stage = FlowStage::Probing;
+    flow.offeredAt = now;
+    flow.asker = forwarded.asker;
+    this->count.add(Counter::FlowsProbed);
+    this->deliver(now, flow, segment, forwarded.packet.payload, actions);
+}
+
+/** Another agent searches for the flow: what the own upstream does with the packet tells whether it is here. */
+void PacketAgent::probeFor(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
+{
+    const FlowKey& key = forwarded.packet.flow;
+    if (this->isUnsureOf(now, key)) {
+        this->probe(now, segment, forwarded, actions);
+    } else if (!this->flows.contains(key)) {
+        this->answerAsker(key, forwarded.asker, false, actions);
+    }
+}
+
+void PacketAgent::answerAsker(const FlowKey& flow, Address asker, bool isHere, Actions& actions) const
+{
+    actions.push_back(SendMessage { asker, FlowQueryReply { flow, this->settings.address, isHere ? this->settings.address : Address {} } });
+}
+
 /** Sends a packet of an unknown flow on; after a restart the own upstream may hold it. */
 void PacketAgent::passOn(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
-    const bool isKnown = this->flows.contains(key) || this->traces.contains(key);
-    if (!isKnown && this->mayHoldUnknown(now) && !this->hasSaidGoodbye && !segment.isReset) {
-        PacketFlow& flow = this->flows[key];
-        flow.stage = FlowStage::Probing;
-        flow.probes = 1;
-        flow.offeredAt = now;
-        this->count.add(Counter::FlowsProbed);
-        this->deliver(now, flow, segment, forwarded.packet.payload, actions);
+    if (this->isUnsureOf(now, key) && !segment.isReset) {
+        this->probe(now, segment, forwarded, actions);
         return;
     }
     if (!this->forwardToNext(forwarded, false, actions)) {
@@ -275,41 +310,93 @@
     }
     this->searchTokens -= 1;
     this->count.add(Counter::Searches);
-    this->searches[key] = { forwarded, now, now };
+    Search& search = this->searches[key];
+    search.packet = forwarded;
+    search.begun = now;
+    search.asked = now;
+    for (const MemberRecord& peer : this->peers.others()) {
+        search.waiting.insert(peer.address);
+    }
     this->events.note(EventLevel::Debug, "flow_searched", { { "flow", formatFlow(key) }, { "hops", std::to_string(forwarded.hops) }, { "peers", std::to_string(this->peers.others().size()) } });
-    this->askPeers(key, actions);
+    if (search.waiting.empty()) {
+        this->concludeSearch(now, FlowKey(key), actions);
+    } else {
+        this->askPeers(key, search, actions);
+    }
 }
 
-void PacketAgent::askPeers(const FlowKey& flow, Actions& actions)
+void PacketAgent::askPeers(const FlowKey& flow, const Search& search, Actions& actions)
 {
-    for (const MemberRecord& peer : this->peers.others()) {
-        actions.push_back(SendMessage { peer.address, FlowQuery { this->serviceHash, flow, this->settings.address } });
+    for (Address peer : search.waiting) {
+        actions.push_back(SendMessage { peer, FlowQuery { this->serviceHash, flow, this->settings.address } });
     }
 }
 
-void PacketAgent::handle(const FlowQuery& query, Actions& actions)
+void PacketAgent::handle(TimePoint now, const FlowQuery& query, Actions& actions)
 {
     if (query.service != this->serviceHash) {
         this->count.add(Counter::PacketsWrongService);
         return;
     }
     const auto flow = this->flows.find(query.flow);
-    const bool isHere = flow != this->flows.end() && (flow->second.stage == FlowStage::Open || flow->second.stage == FlowStage::Ended);
-    if (isHere) {
-        actions.push_back(SendMessage { query.asker, FlowQueryReply { query.flow, this->settings.address, this->settings.address } });
+    FlowQueryReply reply { .flow = query.flow, .responder = this->settings.address };
+    if (flow != this->flows.end()) {
+        const FlowStage stage = flow->second.stage;
+        reply.owner = stage == FlowStage::Open || stage == FlowStage::Ended ? this->settings.address : Address {};
+        reply.isUnsure = stage == FlowStage::Answered || stage == FlowStage::Probing;
+    } else {
+        reply.isUnsure = this->isUnsureOf(now, query.flow);
     }
+    actions.push_back(SendMessage { query.asker, reply });
 }
 
 void PacketAgent::handle(TimePoint now, const FlowQueryReply& reply, Actions& actions)
 {
     const auto found = this->searches.find(reply.flow);
-    if (found == this->searches.end() || !reply.owner.isValid() || reply.owner == this->settings.address) {
+    if (found == this->searches.end() || reply.owner == this->settings.address) {
+        return;
+    }
+    Search& search = found->second;
+    if (reply.isUnsure) {
+        if (search.probed.insert(reply.responder).second) {
+            ForwardedPacket question = search.packet;
+            question.asker = this->settings.address;
+            actions.push_back(SendMessage { reply.responder, std::move(question) });
+        }
         return;
     }
-    ForwardedPacket forwarded = std::move(found->second.packet);
+    if (!reply.owner.isValid()) {
+        search.waiting.erase(reply.responder);
+        if (search.waiting.empty()) {
+            this->concludeSearch(now, reply.flow, actions);
+        }
+        return;
+    }
+    ForwardedPacket forwarded = std::move(search.packet);
     this->searches.erase(found);
     this->remember(now, reply.flow, reply.owner);
     this->forward(forwarded, reply.owner, actions);
 }
 
+/** Only an agent that knows all others may end a flow, and only while none of them is out of reach. */
+bool PacketAgent::mayDeclareLost(TimePoint now) const
+{
+    const std::optional<TimePoint> since = this->peers.synchronizedSince();
+    return since && now - *since >= acquaintanceTime && !this->peers.hasLost(now, lossMemory);
+}
+
+/** Every agent of the service has said that its upstream does not hold the flow. */
+void PacketAgent::concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions)
+{
+    const ForwardedPacket packet = std::move(this->searches[flow].packet);
+    this->searches.erase(flow);
+    const bool maySay = this->mayDeclareLost(now);
+    const std::optional<Segment> segment = this->codec.parse(packet.packet.payload);
+    this->count.add(Counter::FlowsLost);
+    this->events.note(EventLevel::Info, "flow_lost", { { "flow", formatFlow(flow) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
+    if (maySay && segment && !segment->isReset) {
+        pushToCaller(actions, flow, this->codec.makeReset(flow, segment->acknowledged));
+    }
+}
+
 } // namespace lavender
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -225,6 +225,7 @@
         .storeTimeout = values->milliseconds("/store/timeout_ms"),
         .leaseTime = values->seconds("/store/lease_s"),
         .readPeriod = values->seconds("/store/read_s"),
+        .fleetReadPeriod = values->milliseconds("/store/fleet_read_ms"),
         .seeds = seedsOf(*values),
         .steering = values->text("/steering"),
         .fabricListen = values->address("/fabric/listen"),
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -48,6 +48,7 @@
     Duration storeTimeout {};
     Duration leaseTime {};
     Duration readPeriod {};
+    Duration fleetReadPeriod {};
     std::vector<Address> seeds;
     std::string steering;
     Address fabricListen; ///< Not valid where flows carry the project's own exchanges.
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -10,8 +10,9 @@
 namespace {
 
     constexpr Duration retryFloor = 250ms;
-    constexpr Duration retryCeiling = 20s;
-    constexpr int maximumDoublings = 8;
+    constexpr Duration retryCeiling = 1500ms; ///< A store that returns is heard of in less than 2 s; 1,800 nodes make 2,000 calls a second then.
+    constexpr int maximumDoublings = 3;
+    constexpr Duration historyLostDelay = 100ms; ///< Spreads the reads of all watchers whose history was dropped at once.
     constexpr Duration emptyReadPeriod = 5s; ///< About the time between two reads while the store has no rules.
     constexpr Duration seedPeriod = 60s;
     constexpr Duration aloneSeedPeriod = 1s;
@@ -106,6 +107,16 @@
     }
 }
 
+/** A watch may be silent while changes are made. The fleet reads at a fixed rate, whatever its size; gossip spreads the find. */
+Duration StoreFollower::nextRead() const
+{
+    if (!this->listener.hasRules()) {
+        return emptyReadPeriod;
+    }
+    const Duration shared = this->settings.fleetReadPeriod * this->listener.balancerCount();
+    return shared > Duration::zero() ? std::min(shared, this->settings.readPeriod) : this->settings.readPeriod;
+}
+
 /** Every balancer reads now and then, watch or not: the way out where gossip and watches fail. */
 void StoreFollower::readRules()
 {
@@ -117,7 +128,7 @@
         if (value.ok() && value->has_value()) {
             this->takeValue(**value);
         }
-        const Duration period = this->listener.hasRules() ? this->settings.readPeriod : emptyReadPeriod;
+        const Duration period = this->nextRead();
         this->readDue = this->clock.now() + (value.ok() ? period / 2 + this->random.jitter(period) : storeBackoff(this->random, this->readFailures));
     });
 }
@@ -172,9 +183,10 @@
 {
     this->isWatching = true;
     this->store.watch(
-        rulesKey, [this](const StoreValue& value) { this->takeValue(value); }, [this](const absl::Status& /*status*/) {
+        rulesKey, [this](const StoreValue& value) { this->takeValue(value); }, [this](const absl::Status& status) {
             this->isWatching = false;
-            this->watchDue = this->clock.now() + storeBackoff(this->random, ++this->watchFailures); });
+            const bool isHistoryLost = absl::IsOutOfRange(status);
+            this->watchDue = this->clock.now() + (isHistoryLost ? this->random.jitter(historyLostDelay) : storeBackoff(this->random, ++this->watchFailures)); });
     // What was written before the watch stood is not seen by it.
     this->store.read(rulesKey, [this](const absl::StatusOr<std::optional<StoreValue>>& value) {
         if (value.ok()) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -53,7 +53,8 @@
     Address address; ///< Listed under a lease.
     std::string zone;
     Duration leaseTime = 60s;
-    Duration readPeriod = 30s; ///< About the time between two reads of the rules by a balancer without a watch.
+    Duration readPeriod = 30s; ///< About the time between two reads of the rules by one balancer.
+    Duration fleetReadPeriod {}; ///< About the time between two reads by any balancer, where that is sooner; 0: none.
 };
 
 /** Keeps a balancer listed and its rules up to date. */
@@ -70,6 +71,8 @@
         /** True where this balancer is one of those that watch. */
         virtual bool isWatcher() const = 0;
         virtual bool hasRules() const = 0;
+        /** Balancers that are alive, this one counted. */
+        virtual size_t balancerCount() const = 0;
     };
 
     StoreFollower(Store& store, const Clock& clock, Random& random, StoreFollowerSettings settings, Listener& listener);
@@ -86,6 +89,7 @@
     void writeLease();
     void renewLease();
     void openWatch();
+    Duration nextRead() const;
     void takeValue(const StoreValue& value);
     void noteState(bool isUp);
 
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -55,6 +55,7 @@
     Address home; ///< Agent that chooses the owner of an opening packet.
     Address balancer; ///< Where the packet entered; hears who took an opening one. Not valid where nobody asks.
     Address fallback; ///< Agent with the shortest queue so far that could take an opening packet; not valid where none could.
+    Address asker; ///< Agent that searches for the flow and wants to hear whether the receiver's upstream holds it; else not valid.
     uint16_t fallbackQueue = 0; ///< Requests beyond the slots at the fallback.
 
     bool operator==(const ForwardedPacket&) const = default;
@@ -73,6 +74,7 @@
     FlowKey flow;
     Address responder;
     Address owner; ///< Where the flow is; not valid where the responder knows nothing of it.
+    bool isUnsure = false; ///< The responder's upstream may hold the flow: a packet of it would tell.
     bool operator==(const FlowQueryReply&) const = default;
 };
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -98,7 +98,7 @@
     transferList(archive, forwarded.candidates, maximumCandidates);
     archive(forwarded.visited, forwarded.hops);
     transferBool(archive, forwarded.isPlaced);
-    archive(forwarded.home, forwarded.balancer, forwarded.fallback, forwarded.fallbackQueue);
+    archive(forwarded.home, forwarded.balancer, forwarded.fallback, forwarded.asker, forwarded.fallbackQueue);
 }
 
 template <typename Archive>
@@ -107,7 +107,12 @@
 template <typename Archive>
 void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
 template <typename Archive>
-void serialize(Archive& archive, FlowQueryReply& reply) { archive(reply.flow, reply.responder, reply.owner); }
+void serialize(Archive& archive, FlowQueryReply& reply)
+{
+    archive(reply.flow, reply.responder, reply.owner);
+    transferBool(archive, reply.isUnsure);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, FlowMove& move) { archive(move.service, move.flow, move.from, move.finishedThrough, move.moves); }
 
