--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -67,7 +67,7 @@
             this->balancer.onSnapshot(1s, snapshot);
             // Two more revisions, since a balancer keeps earlier rules for patches.
             for (Revision revision = 3; revision <= 4; ++revision) {
-                (void)this->balancer.onConfiguration(1s, revision, concat(rulesFor(count), "# ", revision, "\n"));
+                (void)this->balancer.onConfiguration(1s, revision, 0, concat(rulesFor(count), "# ", revision, "\n"));
             }
         }
     };
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -5,6 +5,7 @@
 #include "core/status_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavender {
 
@@ -13,6 +14,8 @@
     constexpr size_t watchersPerZone = 2;
     constexpr Duration fetchPeriod = 500ms; ///< A newer revision is fetched this often until it is here.
     constexpr Duration settlingTime = 1500ms; ///< After the first agent is known others may still be on their way.
+    constexpr size_t maximumHeld = 512; ///< Opening packets of 31 bytes.
+    constexpr Duration holdTime = 400ms; ///< The time between a caller's first and last copies.
     constexpr size_t announcedBalancers = 6; ///< Named to an agent in each reply.
 
     Counter countOf(const absl::Status& offered)
@@ -54,8 +57,8 @@
         this->handle(now, *gossip, actions);
     } else if (const auto* exchange = std::get_if<DigestExchange>(&message)) {
         this->members.onDigestExchange(now, *exchange, actions);
-    } else if (const auto* accepted = std::get_if<OpeningAccepted>(&message); accepted != nullptr && this->openings != nullptr) {
-        this->openings->onAccepted(now, *accepted);
+    } else if (const auto* outcome = std::get_if<OpeningOutcome>(&message); outcome != nullptr && this->openings != nullptr) {
+        this->openings->onOutcome(now, *outcome);
     }
 }
 
@@ -90,7 +93,13 @@
  */
 void Balancer::refuse(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions)
 {
-    if (this->codec == nullptr || packet.mark != PacketMark::Opening || !this->follower.hasAny()) {
+    if (this->codec == nullptr || packet.mark != PacketMark::Opening) {
+        return;
+    }
+    if (this->servingSince == TimePoint {}) {
+        if (this->held.size() < maximumHeld) {
+            this->held.emplace_back(now, packet);
+        }
         return;
     }
     const std::optional<Segment> segment = this->codec->parse(packet.payload);
@@ -165,9 +174,12 @@
     actions.push_back(FetchSnapshot { peer, { .have = this->mustFetchWhole ? 0 : this->follower.revision() } });
 }
 
-absl::Status Balancer::onConfiguration(TimePoint now, Revision revision, std::string_view rules)
+absl::Status Balancer::onConfiguration(TimePoint now, Revision revision, Revision readAt, std::string_view rules)
 {
-    absl::Status status = this->follower.offer(now, revision, rules);
+    // Rules that differ from those in force, and were read later than those were committed, are newer: the removal of a
+    // key leaves no revision behind.
+    const bool isRemoval = revision <= this->follower.revision() && readAt > this->follower.revision() && rules != this->follower.current().text;
+    absl::Status status = this->follower.offer(now, isRemoval ? readAt : revision, rules);
     this->count.add(countOf(status));
     this->refreshTables(now);
     return status;
@@ -234,9 +246,7 @@
     for (Address agent : this->openings->tick(now)) {
         this->nudge(agent, actions);
     }
-    if (this->servingSince == TimePoint {} && this->isServing()) {
-        this->servingSince = now;
-    }
+    this->beginServing(now, actions);
 }
 
 /** A new revision does not wait for the agents' next announcements. */
@@ -267,6 +277,21 @@
     return this->follower.hasAny() && std::any_of(all.begin(), all.end(), [](const auto& entry) { return entry.second.record.role == MemberRole::Agent && isEligible(entry.second.record); });
 }
 
+/** Sends what came before the first rules and agents were known, unless the caller's next copy is due. */
+void Balancer::beginServing(TimePoint now, Actions& actions)
+{
+    if (this->servingSince != TimePoint {} || !this->isServing()) {
+        return;
+    }
+    this->refreshTables(now);
+    this->servingSince = now;
+    for (const auto& [since, packet] : std::exchange(this->held, {})) {
+        if (now - since < holdTime) {
+            this->handle(now, packet, actions);
+        }
+    }
+}
+
 void Balancer::beginStop(TimePoint now, Actions& actions)
 {
     this->members.leave(now, this->follower.revision(), actions);
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -38,8 +38,8 @@
     /** Handles a packet of a caller. */
     void onPacket(TimePoint now, const FlowPacket& packet, Actions& actions) { this->handle(now, packet, actions); }
 
-    /** A set of rules that the store or a peer says is committed. */
-    absl::Status onConfiguration(TimePoint now, Revision revision, std::string_view rules);
+    /** Rules that the store holds. @param readAt Revision of the store at that time; 0 where it does not say. */
+    absl::Status onConfiguration(TimePoint now, Revision revision, Revision readAt, std::string_view rules);
 
     /** A snapshot that was fetched. */
     void onSnapshot(TimePoint now, const Snapshot& snapshot);
@@ -76,6 +76,7 @@
     void noteRevision(TimePoint now, Address peer, Revision revision, Actions& actions);
     void refuse(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions);
     void refreshTables(TimePoint now);
+    void beginServing(TimePoint now, Actions& actions);
     void tellAgents(Actions& actions);
     void nudge(Address agent, Actions& actions) const;
 
@@ -92,6 +93,7 @@
     const SegmentCodec* codec = nullptr; ///< Of opaque packets; null where flows carry the project's own exchanges.
     EventSink* events = nullptr; ///< Set with the codec.
     std::unique_ptr<OpeningTracker> openings; ///< Set with the codec.
+    std::vector<std::pair<TimePoint, FlowPacket>> held; ///< Opening packets that came before that, and when.
     TimePoint servingSince {}; ///< First moment with rules and agents.
     Revision toldRevision = 0; ///< Revision that the watched agents were told of.
 };
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -43,17 +43,21 @@
     opening.isJudged = false;
 }
 
-void OpeningTracker::onAccepted(TimePoint now, const OpeningAccepted& accepted)
+void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome)
 {
-    this->avoided.erase(accepted.agent);
-    const auto found = this->openings.find(accepted.flow);
+    this->avoided.erase(outcome.agent);
+    const auto found = this->openings.find(outcome.flow);
     if (found == this->openings.end()) {
         return;
     }
     Opening& opening = found->second;
     this->avoided.erase(opening.target); // It passed the packet on.
-    opening.owner = accepted.agent;
     opening.isJudged = true;
+    if (!outcome.isAccepted) {
+        opening.target = {}; // The next copy may try it again.
+        return;
+    }
+    opening.owner = outcome.agent;
     opening.sent = now;
 }
 
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -29,8 +29,8 @@
     /** Puts the candidates of a packet in the order in which they are to be tried. */
     void arrange(TimePoint now, ForwardedPacket& forwarded);
 
-    /** An upstream answered an opening packet. */
-    void onAccepted(TimePoint now, const OpeningAccepted& accepted);
+    /** An upstream answered an opening packet, or no agent had one for it. */
+    void onOutcome(TimePoint now, const OpeningOutcome& outcome);
 
     /** Something was heard of the agent: it can be reached. */
     void onHeard(Address agent) { this->avoided.erase(agent); }
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -141,9 +141,9 @@
             isUp ? logInfo("store-up", "") : logWarning("store-down", "rules in force stay in force");
         }
 
-        void onRules(Revision revision, std::string_view rules) override
+        void onRules(Revision revision, Revision readAt, std::string_view rules) override
         {
-            const absl::Status status = this->balancer.onConfiguration(Process::now(), revision, rules);
+            const absl::Status status = this->balancer.onConfiguration(Process::now(), revision, readAt, rules);
             if (absl::IsInvalidArgument(status)) {
                 logWarning("rules-refused", status.ToString());
             }
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -61,7 +61,7 @@
 
     protected:
         void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->agent.onMessage(now, message, actions); }
-        void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& /*actions*/) override { this->agent.onSnapshot(now, snapshot); }
+        void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) override { this->agent.onSnapshot(now, snapshot, actions); }
         std::string status(TimePoint now, uint64_t dropped) const override { return this->agent.status(now, dropped); }
         std::string openWork() const override { return ""; }
 
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -25,6 +25,8 @@
     constexpr double searchesPerSecond = 200;
     constexpr double searchBurst = 400;
     constexpr uint16_t weightPerSlot = 100;
+    constexpr size_t lateQueueLimitHalves = 2;
+    constexpr size_t queueLimitHalves = 5; ///< Requests at the upstream, in halves of its slots: who comes later would wait for more than 1.5 turns.
 
     MemberRecord selfRecord(const PacketAgentSettings& settings)
     {
@@ -67,7 +69,7 @@
     actions.push_back(FetchSnapshot { balancer, { .have = have, .wantsMembers = !this->follower.hasAny(), .service = this->serviceHash } });
 }
 
-void PacketAgent::onSnapshot(TimePoint now, const Snapshot& snapshot)
+void PacketAgent::onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions)
 {
     for (const MemberRecord& record : snapshot.members) {
         this->peers.learn(now, record);
@@ -83,6 +85,7 @@
     }
     this->count.add(Counter::ConfigurationsAccepted);
     this->applyConfiguration(now);
+    this->releaseHeld(now, actions);
 }
 
 void PacketAgent::applyConfiguration(TimePoint now)
@@ -185,6 +188,15 @@
     return this->gate.mayOpen(now) ? Obstacle::None : Obstacle::Cold;
 }
 
+/** Fresh callers may wait a little; the work of those that have sent copies is late already and takes free slots only. */
+PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now, const Segment& opening) const
+{
+    const size_t halves = opening.acknowledged == 0 ? queueLimitHalves : lateQueueLimitHalves;
+    const bool isFull = this->waitingFlows * 2 >= static_cast<size_t>(this->peers.self().slots) * halves;
+    const Obstacle obstacle = this->obstacle(now);
+    return obstacle == Obstacle::None && isFull ? Obstacle::QueueFull : obstacle;
+}
+
 std::string_view PacketAgent::toText(Obstacle obstacle)
 {
     switch (obstacle) {
@@ -204,6 +216,8 @@
         return "upstream_silent";
     case Obstacle::Connections:
         return "connections_full";
+    case Obstacle::QueueFull:
+        return "queue_full";
     case Obstacle::Cold:
         return "upstream_cold";
     }
@@ -221,7 +235,7 @@
     }
     const uint16_t slots = this->report ? this->report->slots : this->settings.slots;
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
-    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections;
+    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections && obstacle != Obstacle::QueueFull;
     if (isBelief && obstacle != this->loggedObstacle) {
         this->events.note(EventLevel::Info, "admission_changed", { { "obstacle", std::string(toText(obstacle)) }, { "before", std::string(toText(this->loggedObstacle)) }, { "report_age_ms", std::to_string(toMilliseconds(now - this->reportedAt)) }, { "revision", std::to_string(this->follower.revision()) } });
         this->loggedObstacle = obstacle;
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -48,7 +48,7 @@
     void onUpstreamGoodbye(TimePoint now, std::optional<uint64_t> started);
 
     /** A snapshot that was fetched. */
-    void onSnapshot(TimePoint now, const Snapshot& snapshot);
+    void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions);
 
     /** Balancers that the store or the settings name. */
     void onSeeds(std::span<const Address> seeds) { this->peers.addBalancers(seeds); }
@@ -77,6 +77,12 @@
         TimePoint asked {};
     };
 
+    /** An opening packet that came before the rules. */
+    struct HeldOpening {
+        TimePoint since {};
+        ForwardedPacket packet;
+    };
+
     /** Why the upstream takes no new flow now; None where it does. */
     enum class Obstacle : uint8_t {
         None,
@@ -87,6 +93,7 @@
         NoRules,
         Silent,
         Connections,
+        QueueFull,
         Cold,
     };
 
@@ -103,10 +110,13 @@
     void tickSearches(TimePoint now, Actions& actions);
     bool isUpstreamSilent(TimePoint now) const;
     Obstacle obstacle(TimePoint now) const;
+    Obstacle obstacle(TimePoint now, const Segment& opening) const;
 
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
     void handleOpening(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
+    void hold(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    void releaseHeld(TimePoint now, Actions& actions);
     void open(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     bool handleKnown(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void deliver(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions);
@@ -115,7 +125,7 @@
     void passOn(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
     bool forwardToNext(ForwardedPacket& forwarded, bool isOpening, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
-    void refuse(TimePoint now, const Segment& segment, std::string_view reason, Actions& actions);
+    void refuse(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, std::string_view reason, Actions& actions);
     void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
     void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
     bool mayDeclareLost(TimePoint now) const;
@@ -146,6 +156,7 @@
     std::unordered_map<FlowKey, PacketFlow> flows;
     std::unordered_map<FlowKey, PacketTrace> traces;
     std::unordered_map<FlowKey, Search> searches;
+    std::vector<HeldOpening> held;
     size_t waitingFlows = 0; ///< Flows whose upstream owes an answer.
     double searchTokens = 0;
     ColdGate gate;
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -41,7 +41,7 @@
             flow.stage = FlowStage::Answered;
             flow.upstreamSequence = segment.sequence;
             if (flow.balancer.isValid()) {
-                actions.push_back(SendMessage { flow.balancer, OpeningAccepted { key, this->settings.address } });
+                actions.push_back(SendMessage { flow.balancer, OpeningOutcome { key, this->settings.address, true } });
             }
         }
     } else if (flow.stage == FlowStage::Probing) {
@@ -94,7 +94,7 @@
         return;
     }
     if (segment.isOpening) {
-        this->refuse(now, segment, "upstream_full", actions);
+        this->refuse(now, segment, forwarded, "upstream_full", actions);
     } else {
         this->beginSearch(now, forwarded, actions);
     }
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -5,6 +5,7 @@
 #include "core/hash_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavender {
 
@@ -16,6 +17,9 @@
     constexpr uint8_t openingHops = 9; ///< Agents that an opening packet passes in search of any that takes it.
     constexpr Duration settlingTime = 2s; ///< After a start the agent may not know the others: it refuses nothing.
     constexpr size_t maximumSearches = 1024;
+    constexpr size_t maximumHeld = 256; ///< Opening packets of 31 bytes.
+    constexpr Duration holdTime = 400ms; ///< The time between a caller's first and last copies.
+    constexpr Duration firstFetchPeriod = 100ms;
     constexpr Duration acquaintanceTime = 2s; ///< With a balancer in agreement for so long, an agent knows all others.
     constexpr Duration lossMemory = 60s; ///< A member lost that lately may be cut off, and hold the flow.
 
@@ -125,7 +129,11 @@
 
 void PacketAgent::handleOpening(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions)
 {
-    const Obstacle obstacle = this->obstacle(now);
+    if (!this->follower.hasAny()) {
+        this->hold(now, forwarded, actions);
+        return;
+    }
+    const Obstacle obstacle = this->obstacle(now, segment);
     const auto slots = static_cast<size_t>(this->peers.self().slots);
     const bool isBusy = this->waitingFlows >= slots;
     if (obstacle == Obstacle::None && (!isBusy || forwarded.isPlaced)) {
@@ -153,7 +161,30 @@
         this->remember(now, forwarded.packet.flow, fallback);
         this->forward(forwarded, fallback, actions);
     } else {
-        this->refuse(now, segment, toText(obstacle), actions);
+        this->refuse(now, segment, forwarded, toText(obstacle), actions);
+    }
+}
+
+/** Keeps an opening packet until the rules are here; they are asked for at once. */
+void PacketAgent::hold(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
+{
+    if (forwarded.balancer.isValid() && now >= this->nextFetch) {
+        this->nextFetch = now + firstFetchPeriod;
+        actions.push_back(FetchSnapshot { forwarded.balancer, { .wantsMembers = true, .service = this->serviceHash } });
+    }
+    if (this->held.size() < maximumHeld) {
+        this->held.push_back({ now, forwarded });
+    }
+}
+
+/** Places what was held, unless the caller's next copy is due. */
+void PacketAgent::releaseHeld(TimePoint now, Actions& actions)
+{
+    for (HeldOpening& opening : std::exchange(this->held, {})) {
+        const std::optional<Segment> segment = this->codec.parse(opening.packet.packet.payload);
+        if (segment && now - opening.since < holdTime) {
+            this->handleOpening(now, *segment, opening.packet, actions);
+        }
     }
 }
 
@@ -174,7 +205,7 @@
 }
 
 /** A reset is sent for the first copy only: a later one may belong to a flow that another upstream has opened. */
-void PacketAgent::refuse(TimePoint now, const Segment& segment, std::string_view reason, Actions& actions)
+void PacketAgent::refuse(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, std::string_view reason, Actions& actions)
 {
     const bool maySay = segment.acknowledged == 0 && now - this->startedAt >= settlingTime;
     this->count.add(Counter::FlowsRefused);
@@ -183,6 +214,9 @@
         const FlowKey key = segment.flowOfCaller();
         pushToCaller(actions, key, this->codec.makeReset(key, 0));
     }
+    if (forwarded.balancer.isValid()) {
+        actions.push_back(SendMessage { forwarded.balancer, OpeningOutcome { segment.flowOfCaller(), this->settings.address, false } });
+    }
 }
 
 /** True where the own upstream may hold a flow that began before this process. */
--- a/src/replay/node.cpp
+++ b/src/replay/node.cpp
@@ -92,9 +92,9 @@
     this->follower.stop();
 }
 
-void BalancerNode::onRules(Revision newRevision, std::string_view rules)
+void BalancerNode::onRules(Revision newRevision, Revision /*readAt*/, std::string_view rules)
 {
-    this->run([this, newRevision, text = std::string(rules)] { (void)this->balancer.onConfiguration(this->queue.now(), newRevision, text); });
+    this->run([this, newRevision, text = std::string(rules)] { (void)this->balancer.onConfiguration(this->queue.now(), newRevision, 0, text); });
 }
 
 void BalancerNode::onSeeds(std::span<const Address> found)
--- a/src/replay/node.h
+++ b/src/replay/node.h
@@ -74,11 +74,12 @@
     Revision revision() const override { return this->balancer.configuration().revision(); }
     void stop();
 
-    void onRules(Revision revision, std::string_view rules) override;
+    void onRules(Revision revision, Revision readAt, std::string_view rules) override;
     void onStoreState(bool /*isUp*/) override { }
     void onLeaseLapsed() override { }
     bool isWatcher() const override { return this->balancer.isWatcher(); }
     bool hasRules() const override { return this->balancer.configuration().hasAny(); }
+    size_t balancerCount() const override { return this->balancer.gossip().balancers("").size() + 1; }
     void onSeeds(std::span<const Address> seeds) override;
     bool isAlone() const override { return this->balancer.gossip().balancers("").empty(); }
 
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -84,6 +84,12 @@
         }
     }
 
+    bool isMissed(const SettingDescription& setting, const Json& json)
+    {
+        const auto has = [&json](std::string_view path) { return json.contains(Json::json_pointer(std::string(path))); };
+        return setting.isRequired || (!setting.requiredWith.empty() && has(setting.requiredWith)) || (!setting.requiredWithout.empty() && !has(setting.requiredWithout));
+    }
+
     std::string shorten(const Json& value)
     {
         constexpr size_t longest = 60;
@@ -167,7 +173,7 @@
         if (result.values.contains(setting.path)) {
             continue;
         }
-        if (setting.isRequired || (!setting.requiredWith.empty() && result.values.contains(setting.requiredWith) && !result.values.find(setting.requiredWith)->second.empty())) {
+        if (isMissed(setting, json)) {
             faults.push_back(concat(setting.path, ": missing: expected ", kindText(setting)));
         }
         result.values[std::string(setting.path)] = std::string(setting.fallback);
@@ -242,8 +248,8 @@
     if (!values.ok()) {
         return values.status();
     }
-    if (values->text("/upstream/url").empty() == values->text("/upstream/packets").empty()) {
-        return absl::InvalidArgumentError("/upstream: expected one of /upstream/url and /upstream/packets");
+    if (!values->text("/upstream/url").empty() && !values->text("/upstream/packets").empty()) {
+        return absl::InvalidArgumentError("/upstream/url: expected to be absent with /upstream/packets");
     }
     return AgentProcessSettings {
         .listen = values->address("/listen"),
--- a/src/settings/setting_type.h
+++ b/src/settings/setting_type.h
@@ -30,6 +30,7 @@
     std::string_view help;
     bool isReloadable = false; ///< Taken anew at SIGHUP; the others need a restart.
     std::string_view requiredWith = {}; ///< Must be there where this setting is.
+    std::string_view requiredWithout = {}; ///< Must be there where this setting is not.
 };
 
 /** All settings of one program. */
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -86,7 +86,7 @@
 {
     const absl::StatusOr<RulesEnvelope> envelope = parseEnvelope(value.value);
     if (envelope.ok()) {
-        this->listener.onRules(value.revision, envelope->rules);
+        this->listener.onRules(value.revision, value.readAt, envelope->rules);
     }
 }
 
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -64,8 +64,8 @@
     class Listener {
     public:
         virtual ~Listener() = default;
-        /** Rules that the store holds. */
-        virtual void onRules(Revision revision, std::string_view rules) = 0;
+        /** Rules that the store holds. @param readAt Revision of the store at that time; 0 where it does not say. */
+        virtual void onRules(Revision revision, Revision readAt, std::string_view rules) = 0;
         virtual void onStoreState(bool isUp) = 0;
         virtual void onLeaseLapsed() = 0;
         /** True where this balancer is one of those that watch. */
--- a/src/store/store_base.h
+++ b/src/store/store_base.h
@@ -23,6 +23,7 @@
     std::string key;
     std::string value;
     Revision revision = 0; ///< Store's revision of the last write to this key.
+    Revision readAt = 0; ///< Store's revision that the value stands for; 0 where the store does not say.
 };
 
 /** Result of a compare-and-swap. */
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -177,15 +177,16 @@
     bool operator==(const Snapshot&) const = default;
 };
 
-/** Tells the balancer where an opaque flow was opened. */
-struct OpeningAccepted {
+/** Tells the balancer what became of an opaque flow's opening packet. */
+struct OpeningOutcome {
     FlowKey flow;
-    Address agent; ///< Beside the upstream that answered.
-    bool operator==(const OpeningAccepted&) const = default;
+    Address agent; ///< Beside the upstream that answered, or the agent that found none for it.
+    bool isAccepted = false;
+    bool operator==(const OpeningOutcome&) const = default;
 };
 
 /** Any message; the order is the wire's and only grows at its end. */
 using Message = std::variant<FlowPacket, ForwardedPacket, FlowQuery, FlowQueryReply, FlowMove, FlowMoveReply, LoadNews,
-    Announce, AnnounceReply, Gossip, DigestExchange, StatusAsk, StatusReply, SnapshotAsk, Snapshot, OpeningAccepted>;
+    Announce, AnnounceReply, Gossip, DigestExchange, StatusAsk, StatusReply, SnapshotAsk, Snapshot, OpeningOutcome>;
 
 } // namespace lavender
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -102,7 +102,11 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, OpeningAccepted& accepted) { archive(accepted.flow, accepted.agent); }
+void serialize(Archive& archive, OpeningOutcome& outcome)
+{
+    archive(outcome.flow, outcome.agent);
+    transferBool(archive, outcome.isAccepted);
+}
 
 template <typename Archive>
 void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.asker); }
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -13,11 +13,12 @@
 
 /** Counts what a follower reports. */
 struct Listener final : StoreFollower::Listener {
-    void onRules(Revision revision, std::string_view /*text*/) override { this->latest = std::max(this->latest, revision); }
+    void onRules(Revision revision, Revision /*readAt*/, std::string_view /*text*/) override { this->latest = std::max(this->latest, revision); }
     void onStoreState(bool isUp) override { isUp ? ++this->ups : ++this->downs; }
     void onLeaseLapsed() override { ++this->lapses; }
     bool isWatcher() const override { return this->isWatching; }
     bool hasRules() const override { return this->latest > 0; }
+    size_t balancerCount() const override { return 1; }
 
     Revision latest = 0;
     int ups = 0;
