--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -54,7 +54,7 @@
     /** A balancer with the whole view: services and twelve agents each. */
     struct WholeView {
         SeededRandom random { 1 };
-        Balancer balancer { { { 0x0a630001, 7000 }, "zone-0", 1 }, makeSteering("product"), random };
+        Balancer balancer { { { 0x0a630001, 7000 }, "zone-0", 1 }, makeSteering("product", ""), random };
         uint32_t services;
 
         explicit WholeView(uint32_t count)
--- a/bench/placement_model.cpp
+++ b/bench/placement_model.cpp
@@ -23,7 +23,7 @@
         explicit PlacementModel(const PlacementScene& sceneToRun)
             : scene(sceneToRun)
             , random(hashPair(scene.seed, 77))
-            , steering(makeSteering(scene.steering))
+            , steering(makeSteering(scene.steering, ""))
         {
             const std::string rules = concat("service s at 10.0.0.1:80 slots ", scene.slots, " connections 1000000 ramp 0 # bench\nannounce s in z # bench\n");
             this->configuration = parseRules(rules).configuration;
--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -167,7 +167,7 @@
         double seconds[2] = {};
         const char* names[2] = { "product", "naive" };
         for (size_t which = 0; which < 2; ++which) {
-            const std::unique_ptr<Steering> steering = makeSteering(names[which]);
+            const std::unique_ptr<Steering> steering = makeSteering(names[which], "");
             for (uint32_t index = 0; index < services; ++index) {
                 std::vector<MemberRecord> records;
                 for (uint32_t agent = 0; agent < 12; ++agent) {
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr size_t watchersPerZone = 2;
+    constexpr size_t watchersPerZone = 1;
     constexpr Duration fetchPeriod = 500ms; ///< A newer revision is fetched this often until it is here.
     constexpr Duration settlingTime = 1500ms; ///< After the first agent is known others may still be on their way.
     constexpr size_t maximumHeld = 512; ///< Opening packets of 31 bytes.
@@ -105,7 +105,7 @@
     const std::optional<Segment> segment = this->codec->parse(packet.payload);
     const bool maySay = segment && segment->acknowledged == 0 && this->servingSince != TimePoint {} && now - this->servingSince >= settlingTime;
     this->count.add(Counter::FlowsRefused);
-    this->events->note(EventLevel::Info, "flow_refused", { { "flow", formatFlow(packet.flow) }, { "reason", std::string(reason) }, { "revision", std::to_string(this->follower.revision()) }, { "revision_age_ms", std::to_string(toMilliseconds(now - this->follower.inForceSince())) }, { "reset", maySay ? "true" : "false" } });
+    this->events->note(EventLevel::Info, "flow-refused", { { "flow", formatFlow(packet.flow) }, { "reason", std::string(reason) }, { "revision", std::to_string(this->follower.revision()) }, { "revision_age_ms", std::to_string(toMilliseconds(now - this->follower.inForceSince())) }, { "reset", maySay ? "true" : "false" } });
     if (maySay) {
         pushToCaller(actions, packet.flow, this->codec->makeReset(packet.flow, 0));
     }
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -75,7 +75,7 @@
         }
         this->avoided[opening.target] = { now + avoidTime, {} };
         this->counters.add(Counter::AgentsAvoided);
-        this->events.note(EventLevel::Info, "agent_avoided", { { "agent", formatAddress(opening.target) }, { "flow", formatFlow(flow) }, { "unanswered_ms", std::to_string(toMilliseconds(now - opening.sent)) } });
+        this->events.note(EventLevel::Info, "agent-avoided", { { "agent", formatAddress(opening.target) }, { "flow", formatFlow(flow) }, { "unanswered_ms", std::to_string(toMilliseconds(now - opening.sent)) } });
     }
     std::erase_if(this->openings, [now](const auto& entry) { return now - entry.second.sent >= openingAge; });
     std::vector<Address> asked;
--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -166,8 +166,11 @@
             } else if (option->text == "cold") {
                 number = reader.takeNumber(0, maximumColdOpenings);
                 rule.coldOpeningsPerSecond = number;
+            } else if (option->text == "warmup") {
+                number = reader.takeNumber(0, maximumRampMilliseconds);
+                rule.warmUp = std::chrono::milliseconds(number.value_or(0));
             } else {
-                reader.fail(option->position, concat("\"", option->text, "\": expected \"slots\", \"connections\", \"ramp\" or \"cold\""));
+                reader.fail(option->position, concat("\"", option->text, "\": expected \"slots\", \"connections\", \"ramp\", \"cold\" or \"warmup\""));
             }
             if (!number.has_value()) {
                 return;
--- a/src/config/rule_type.h
+++ b/src/config/rule_type.h
@@ -26,6 +26,7 @@
     Duration ramp = 5s; ///< Busy time that an upstream takes from cold to all its slots.
     uint32_t connections = 2000; ///< Flows that one upstream holds at the most.
     std::optional<uint32_t> coldOpeningsPerSecond; ///< New flows a second that a cold upstream bears; none where no rule says.
+    std::optional<Duration> warmUp; ///< How long an upstream is cold after its start; none where no rule says.
     uint64_t nameHash = 0; ///< hashText(name): the service on the wire.
 };
 
--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -52,7 +52,7 @@
         {
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
             }
         }
 
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -28,7 +28,7 @@
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
-            , balancer({ settings.listen, settings.zone, Process::makeIncarnation() }, makeSteering(settings.steering), this->random)
+            , balancer({ settings.listen, settings.zone, Process::makeIncarnation() }, makeSteering(settings.steering, settings.zone), this->random)
         {
             if (settings.fabricListen.isValid()) {
                 this->balancer.carryPackets(this->codec, this->events);
@@ -37,7 +37,7 @@
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
                 const StoreFollowerSettings followerSettings { settings.listen, settings.zone, settings.leaseTime, settings.readPeriod, settings.fleetReadPeriod };
                 this->follower = std::make_unique<StoreFollower>(*this->store, this->clock, this->random, followerSettings, *this);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
             }
         }
 
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -29,11 +29,11 @@
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
-            , agent({ .address = settings.listen, .zone = settings.zone, .service = settings.service, .incarnation = Process::makeIncarnation(), .slots = settings.slots, .reportPeriod = settings.reportPeriod }, this->codec, this->random, this->events)
+            , agent({ .address = settings.listen, .zone = settings.zone, .service = settings.service, .incarnation = Process::makeIncarnation(), .slots = settings.slots, .reportPeriod = settings.reportPeriod, .startedAt = Process::now() }, this->codec, this->random, this->events)
         {
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
             }
             this->agent.onSeeds(settings.seeds);
         }
@@ -112,10 +112,7 @@
 
         bool onReport(const UpstreamReport& report) override
         {
-            Actions actions;
-            const bool isUsed = this->agent.onUpstreamReport(Process::now(), report, actions);
-            this->performAll(actions);
-            return isUsed;
+            return this->agent.onUpstreamReport(Process::now(), report);
         }
 
         void onGoodbye(std::optional<uint64_t> started) override { this->agent.onUpstreamGoodbye(Process::now(), started); }
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -25,6 +25,7 @@
     constexpr double searchesPerSecond = 200;
     constexpr double searchBurst = 400;
     constexpr uint16_t weightPerSlot = 100;
+    constexpr Duration restartTime = 150ms; ///< An agent that died is back no sooner.
     constexpr size_t lateQueueLimitHalves = 2;
     constexpr size_t queueLimitHalves = 5; ///< Requests at the upstream, in halves of its slots: who comes later would wait for more than 1.5 turns.
 
@@ -42,7 +43,9 @@
     , events(events)
     , serviceHash(hashText(settings.service))
     , peers(selfRecord(settings), random)
+    , lastTick(settings.startedAt)
 {
+    this->gate.assumeUsedUp(settings.startedAt);
 }
 
 void PacketAgent::onMessage(TimePoint now, const Message& message, Actions& actions)
@@ -93,7 +96,7 @@
     const Configuration& configuration = this->follower.current();
     const ServiceRule* rule = configuration.findService(this->settings.service);
     this->gate.setRate(rule == nullptr ? std::nullopt : rule->coldOpeningsPerSecond);
-    this->events.note(EventLevel::Info, "rules_in_force", { { "revision", std::to_string(configuration.revision) }, { "cold_openings_per_s", rule != nullptr && rule->coldOpeningsPerSecond ? std::to_string(*rule->coldOpeningsPerSecond) : "unlimited" }, { "zone_draining", configuration.isZoneDraining(this->settings.zone) ? "true" : "false" } });
+    this->events.note(EventLevel::Info, "rules-in-force", { { "revision", std::to_string(configuration.revision) }, { "cold_openings_per_s", rule != nullptr && rule->coldOpeningsPerSecond ? std::to_string(*rule->coldOpeningsPerSecond) : "unlimited" }, { "zone_draining", configuration.isZoneDraining(this->settings.zone) ? "true" : "false" } });
     const bool isZoneDraining = configuration.isZoneDraining(this->settings.zone);
     if (this->wasZoneDraining && !isZoneDraining) {
         // Upstreams of a zone that returns may be cold before they say so.
@@ -103,11 +106,11 @@
     this->refreshTable();
 }
 
-bool PacketAgent::onUpstreamReport(TimePoint now, const UpstreamReport& fresh, Actions& actions)
+bool PacketAgent::onUpstreamReport(TimePoint now, const UpstreamReport& fresh)
 {
     const auto drop = [&](std::string_view reason) {
         this->count.add(Counter::ReportsDropped);
-        this->events.note(EventLevel::Warning, "report_dropped", { { "upstream", fresh.id }, { "reason", std::string(reason) }, { "sequence", std::to_string(fresh.sequence) }, { "held", this->report ? this->report->id : "none" } });
+        this->events.note(EventLevel::Warning, "report-dropped", { { "upstream", fresh.id }, { "reason", std::string(reason) }, { "sequence", std::to_string(fresh.sequence) }, { "held", this->report ? this->report->id : "none" } });
         return false;
     };
     if (this->report && isSameLifetime(fresh, *this->report)) {
@@ -117,11 +120,11 @@
     } else if (this->report && !isLaterLifetime(fresh, *this->report)) {
         return drop("from an earlier lifetime");
     } else {
-        this->beginLifetime(now, fresh, actions);
+        this->beginLifetime(now, fresh);
     }
     const bool wasDraining = this->report && this->report->isDraining;
     if (fresh.isDraining != wasDraining) {
-        this->events.note(EventLevel::Info, "upstream_draining", { { "upstream", fresh.id }, { "draining", fresh.isDraining ? "true" : "false" }, { "flows", std::to_string(this->flows.size()) } });
+        this->events.note(EventLevel::Info, "upstream-draining", { { "upstream", fresh.id }, { "draining", fresh.isDraining ? "true" : "false" }, { "flows", std::to_string(this->flows.size()) } });
     }
     this->report = fresh;
     this->reportedAt = now;
@@ -132,9 +135,11 @@
     return true;
 }
 
-void PacketAgent::beginLifetime(TimePoint /*now*/, const UpstreamReport& fresh, Actions& /*actions*/)
+void PacketAgent::beginLifetime(TimePoint now, const UpstreamReport& fresh)
 {
-    this->events.note(EventLevel::Info, "upstream_started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->report ? this->report->id : "none" } });
+    this->firstReportAt = now;
+    this->firstColdLeft = fresh.coldLeft;
+    this->events.note(EventLevel::Info, "upstream-started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->report ? this->report->id : "none" } });
 }
 
 void PacketAgent::onUpstreamGoodbye(TimePoint /*now*/, std::optional<uint64_t> started)
@@ -144,10 +149,30 @@
         this->count.add(Counter::ReportsDropped);
         return;
     }
-    this->events.note(EventLevel::Info, "upstream_ended", { { "upstream", this->report ? this->report->id : "unknown" }, { "flows", std::to_string(this->flows.size()) } });
+    this->events.note(EventLevel::Info, "upstream-ended", { { "upstream", this->report ? this->report->id : "unknown" }, { "flows", std::to_string(this->flows.size()) } });
     this->hasSaidGoodbye = true;
 }
 
+/**
+ * True where the upstream began no earlier than this process: all its flows are known here. What is left of the cold time
+ * tells its age whatever the time of day does; its start time tells a new lifetime from one that became cold again.
+ */
+bool PacketAgent::beganWithUpstream() const
+{
+    const ServiceRule* rule = this->follower.current().findService(this->settings.service);
+    if (rule == nullptr || !rule->warmUp || !this->report || !this->report->started || this->firstColdLeft == Duration::zero()) {
+        return false;
+    }
+    const TimePoint began = this->firstReportAt - (*rule->warmUp - this->firstColdLeft);
+    const auto slack = static_cast<uint64_t>(toMilliseconds(restartTime));
+    return began + restartTime >= this->settings.startedAt && *this->report->started + slack >= this->settings.incarnation;
+}
+
+bool PacketAgent::mayHoldUnknown(TimePoint now) const
+{
+    return now - this->settings.startedAt < this->settings.flowAge && !this->beganWithUpstream();
+}
+
 bool PacketAgent::isUpstreamSilent(TimePoint now) const
 {
     if (this->hasSaidGoodbye) {
@@ -156,7 +181,7 @@
     if (this->unansweredSince != TimePoint {} && now - this->unansweredSince >= answerTimeout) {
         return true;
     }
-    const TimePoint heard = std::max({ this->reportedAt, this->lastUpstreamPacket, this->startedAt });
+    const TimePoint heard = std::max({ this->reportedAt, this->lastUpstreamPacket, this->settings.startedAt });
     return now - heard >= std::min(this->settings.reportPeriod * 5 / 2, longestSilence);
 }
 
@@ -237,7 +262,7 @@
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
     const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections && obstacle != Obstacle::QueueFull;
     if (isBelief && obstacle != this->loggedObstacle) {
-        this->events.note(EventLevel::Info, "admission_changed", { { "obstacle", std::string(toText(obstacle)) }, { "before", std::string(toText(this->loggedObstacle)) }, { "report_age_ms", std::to_string(toMilliseconds(now - this->reportedAt)) }, { "revision", std::to_string(this->follower.revision()) } });
+        this->events.note(EventLevel::Info, "admission-changed", { { "obstacle", std::string(toText(obstacle)) }, { "before", std::string(toText(this->loggedObstacle)) }, { "report_age_ms", std::to_string(toMilliseconds(now - this->reportedAt)) }, { "revision", std::to_string(this->follower.revision()) } });
         this->loggedObstacle = obstacle;
     }
 }
@@ -315,10 +340,6 @@
 
 void PacketAgent::tick(TimePoint now, Actions& actions)
 {
-    if (this->startedAt == TimePoint {}) {
-        this->startedAt = now;
-        this->gate.assumeUsedUp(now);
-    }
     this->refreshSelf(now);
     this->refreshTable();
     this->tickSearches(now, actions);
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -24,10 +24,11 @@
     Address address; ///< Where other processes reach it.
     std::string zone;
     std::string service; ///< Service of the upstream.
-    uint64_t incarnation = 1; ///< Higher than that of any earlier process at this address.
+    uint64_t incarnation = 1; ///< Unix milliseconds of the start; higher than that of any earlier process at this address.
     uint16_t slots = 1; ///< Until the upstream says how many it has.
     Duration reportPeriod = 1s; ///< The upstream reports about this often.
     Duration flowAge = 60s; ///< An older flow may be forgotten.
+    TimePoint startedAt {}; ///< When the process began.
 };
 
 /** Decisions of an agent that carries opaque packets. */
@@ -42,7 +43,7 @@
     void onUpstreamPacket(TimePoint now, std::span<const uint8_t> packet, Actions& actions);
 
     /** The upstream reported its state. @return False where the report is not to be used. */
-    bool onUpstreamReport(TimePoint now, const UpstreamReport& report, Actions& actions);
+    bool onUpstreamReport(TimePoint now, const UpstreamReport& report);
 
     /** The upstream said that it ends. @param started Its incarnation; none where it did not say. */
     void onUpstreamGoodbye(TimePoint now, std::optional<uint64_t> started);
@@ -103,12 +104,13 @@
     void forget(const FlowKey& key);
     void noteRevision(TimePoint now, Address balancer, Revision revision, Actions& actions);
     void applyConfiguration(TimePoint now);
-    void beginLifetime(TimePoint now, const UpstreamReport& report, Actions& actions);
+    void beginLifetime(TimePoint now, const UpstreamReport& report);
     void refreshSelf(TimePoint now);
     void refreshTable();
     void expireFlows(TimePoint now);
     void tickSearches(TimePoint now, Actions& actions);
     bool isUpstreamSilent(TimePoint now) const;
+    bool beganWithUpstream() const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
 
@@ -134,7 +136,7 @@
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
-    bool mayHoldUnknown(TimePoint now) const { return now - this->startedAt < this->settings.flowAge; }
+    bool mayHoldUnknown(TimePoint now) const;
     void remember(TimePoint now, const FlowKey& flow, Address owner);
     void fillCandidates(ForwardedPacket& forwarded) const;
 
@@ -162,13 +164,14 @@
     ColdGate gate;
     std::optional<UpstreamReport> report; ///< Latest that counts.
     TimePoint reportedAt {};
+    Duration firstColdLeft {}; ///< As the first report of the lifetime said.
+    TimePoint firstReportAt {};
     TimePoint lastUpstreamPacket {};
     TimePoint unansweredSince {}; ///< First opening packet that the upstream has not answered; zero where there is none.
     bool hasSaidGoodbye = false;
     bool isStopping = false;
     bool wasZoneDraining = false;
     bool mustFetchWhole = false;
-    TimePoint startedAt {};
     TimePoint lastTick {};
     TimePoint nextFetch {};
     TimePoint nextExpiry {};
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -103,7 +103,7 @@
 void PacketAgent::resetFlow(const FlowKey& key, const PacketFlow& flow, std::string_view reason, Actions& actions)
 {
     this->count.add(Counter::FlowsReset);
-    this->events.note(EventLevel::Info, "flow_reset", { { "flow", formatFlow(key) }, { "reason", std::string(reason) }, { "upstream", this->report ? this->report->id : "unknown" } });
+    this->events.note(EventLevel::Info, "flow-reset", { { "flow", formatFlow(key) }, { "reason", std::string(reason) }, { "upstream", this->report ? this->report->id : "unknown" } });
     pushToCaller(actions, key, this->codec.makeReset(key, flow.callerAcknowledged));
 }
 
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -13,7 +13,7 @@
 
     constexpr Duration traceTime = 10s; ///< Renewed by each packet that follows the trace.
     constexpr uint32_t acknowledgeWindow = 1U << 16U; ///< Of a first acknowledgement behind the upstream's number.
-    constexpr uint8_t busyHops = 4; ///< Agents that an opening packet passes in search of a free slot.
+    constexpr uint8_t busyHops = 5; ///< Agents that an opening packet passes in search of a free slot.
     constexpr uint8_t openingHops = 9; ///< Agents that an opening packet passes in search of any that takes it.
     constexpr Duration settlingTime = 2s; ///< After a start the agent may not know the others: it refuses nothing.
     constexpr size_t maximumSearches = 1024;
@@ -200,16 +200,16 @@
     }
     this->count.add(Counter::FlowsOpened);
     this->setWaiting(now, flow, true);
-    this->events.note(EventLevel::Debug, "flow_placed", { { "flow", formatFlow(forwarded.packet.flow) }, { "hops", std::to_string(forwarded.hops) }, { "busy", std::to_string(this->waitingFlows) }, { "revision", std::to_string(this->follower.revision()) } });
+    this->events.note(EventLevel::Debug, "flow-placed", { { "flow", formatFlow(forwarded.packet.flow) }, { "hops", std::to_string(forwarded.hops) }, { "busy", std::to_string(this->waitingFlows) }, { "revision", std::to_string(this->follower.revision()) } });
     this->deliver(now, flow, segment, forwarded.packet.payload, actions);
 }
 
 /** A reset is sent for the first copy only: a later one may belong to a flow that another upstream has opened. */
 void PacketAgent::refuse(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, std::string_view reason, Actions& actions)
 {
-    const bool maySay = segment.acknowledged == 0 && now - this->startedAt >= settlingTime;
+    const bool maySay = segment.acknowledged == 0 && now - this->settings.startedAt >= settlingTime;
     this->count.add(Counter::FlowsRefused);
-    this->events.note(EventLevel::Info, "flow_refused", { { "flow", formatFlow(segment.flowOfCaller()) }, { "reason", std::string(reason) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
+    this->events.note(EventLevel::Info, "flow-refused", { { "flow", formatFlow(segment.flowOfCaller()) }, { "reason", std::string(reason) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
     if (maySay) {
         const FlowKey key = segment.flowOfCaller();
         pushToCaller(actions, key, this->codec.makeReset(key, 0));
@@ -351,7 +351,7 @@
     for (const MemberRecord& peer : this->peers.others()) {
         search.waiting.insert(peer.address);
     }
-    this->events.note(EventLevel::Debug, "flow_searched", { { "flow", formatFlow(key) }, { "hops", std::to_string(forwarded.hops) }, { "peers", std::to_string(this->peers.others().size()) } });
+    this->events.note(EventLevel::Debug, "flow-searched", { { "flow", formatFlow(key) }, { "hops", std::to_string(forwarded.hops) }, { "peers", std::to_string(this->peers.others().size()) } });
     if (search.waiting.empty()) {
         this->concludeSearch(now, FlowKey(key), actions);
     } else {
@@ -427,7 +427,7 @@
     const bool maySay = this->mayDeclareLost(now);
     const std::optional<Segment> segment = this->codec.parse(packet.packet.payload);
     this->count.add(Counter::FlowsLost);
-    this->events.note(EventLevel::Info, "flow_lost", { { "flow", formatFlow(flow) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
+    this->events.note(EventLevel::Info, "flow-lost", { { "flow", formatFlow(flow) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
     if (maySay && segment && !segment->isReset) {
         pushToCaller(actions, flow, this->codec.makeReset(flow, segment->acknowledged));
     }
--- a/src/steer/steering.cpp
+++ b/src/steer/steering.cpp
@@ -104,25 +104,42 @@
     return true;
 }
 
+void PacketSteering::update(TimePoint now, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records)
+{
+    RendezvousSteering::update(now, service, configuration, records);
+    std::vector<MemberRecord> near;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(near), [this](const MemberRecord& record) { return record.zone == this->zone; });
+    this->local.update(now, service, configuration, near);
+}
+
+void PacketSteering::retain(const Configuration& configuration)
+{
+    RendezvousSteering::retain(configuration);
+    this->local.retain(configuration);
+}
+
+/** Agents of the callers' zone first: what stays in a zone is quicker, and not touched when zones lose each other. */
 bool PacketSteering::route(TimePoint /*now*/, const ServiceRule& service, ForwardedPacket& forwarded) const
 {
-    const BucketTable* table = this->tableOf(service);
-    if (table == nullptr) {
-        return false;
-    }
-    const auto members = table->members();
-    const BucketChoice& choice = table->choose(hashFlow(forwarded.packet.flow));
+    const uint64_t hash = hashFlow(forwarded.packet.flow);
     const bool isOpening = forwarded.packet.mark == PacketMark::Opening;
     forwarded.service = service.nameHash;
     forwarded.candidates.clear();
-    for (uint16_t index : { choice.home, choice.second }) {
-        if (index != BucketChoice::none) {
-            addCandidate(forwarded, members[index].address);
+    for (const BucketTable* table : { this->local.tableOf(service), this->tableOf(service) }) {
+        if (table == nullptr) {
+            continue;
         }
-    }
-    for (uint16_t index : choice.ranked) {
-        if (index != BucketChoice::none && (!isOpening || members[index].isEligible)) {
-            addCandidate(forwarded, members[index].address);
+        const auto members = table->members();
+        const BucketChoice& choice = table->choose(hash);
+        for (uint16_t index : { choice.home, choice.second }) {
+            if (index != BucketChoice::none) {
+                addCandidate(forwarded, members[index].address);
+            }
+        }
+        for (uint16_t index : choice.ranked) {
+            if (index != BucketChoice::none && (!isOpening || members[index].isEligible)) {
+                addCandidate(forwarded, members[index].address);
+            }
         }
     }
     if (forwarded.candidates.empty()) {
@@ -160,7 +177,7 @@
     return true;
 }
 
-std::unique_ptr<Steering> makeSteering(std::string_view name)
+std::unique_ptr<Steering> makeSteering(std::string_view name, std::string_view zone)
 {
     if (name == "product") {
         return std::make_unique<RendezvousSteering>();
@@ -169,7 +186,7 @@
         return std::make_unique<ModuloSteering>();
     }
     if (name == "packets") {
-        return std::make_unique<PacketSteering>();
+        return std::make_unique<PacketSteering>(zone);
     }
     if (name == "hash") {
         return std::make_unique<RendezvousSteering>(true);
--- a/src/steer/steering_base.h
+++ b/src/steer/steering_base.h
@@ -47,7 +47,6 @@
     void retain(const Configuration& configuration) override;
     bool route(TimePoint now, const ServiceRule& service, ForwardedPacket& forwarded) const override;
 
-protected:
     /** Null where the service has no agent. */
     const BucketTable* tableOf(const ServiceRule& service) const;
 
@@ -64,7 +63,19 @@
 /** For opaque flows: agents recognise a flow that two upstreams answered, so that openings need not meet at one agent. */
 class PacketSteering final : public RendezvousSteering {
 public:
+    /** @param zone Availability zone of the balancer, and so of the callers that are routed to it. */
+    explicit PacketSteering(std::string_view zone)
+        : zone(zone)
+    {
+    }
+
+    void update(TimePoint now, const ServiceRule& service, const Configuration& configuration, std::span<const MemberRecord> records) override;
+    void retain(const Configuration& configuration) override;
     bool route(TimePoint now, const ServiceRule& service, ForwardedPacket& forwarded) const override;
+
+private:
+    std::string zone;
+    RendezvousSteering local; ///< Of the agents in the own zone.
 };
 
 /** Naive: the flow's hash modulo the number of eligible agents, no second candidate. */
@@ -78,7 +89,7 @@
     std::unordered_map<uint64_t, std::vector<Address>> services;
 };
 
-/** A steering by its name: "product", "packets", "naive" or "hash"; none for another name. */
-std::unique_ptr<Steering> makeSteering(std::string_view name);
+/** A steering for a balancer in @p zone, by its name: "product", "packets", "naive" or "hash"; none for another name. */
+std::unique_ptr<Steering> makeSteering(std::string_view name, std::string_view zone);
 
 } // namespace lavender
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -25,20 +25,30 @@
     return retryFloor + random.jitter(span);
 }
 
-SeedFinder::SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Listener& listener)
+SeedFinder::SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Duration firstDelay, Listener& listener)
     : store(store)
     , clock(clock)
     , random(random)
     , zone(std::move(zone))
+    , firstDelay(firstDelay)
     , listener(listener)
 {
 }
 
 void SeedFinder::tick()
 {
+    if (this->due == TimePoint {}) {
+        this->due = this->clock.now() + this->firstDelay;
+    }
     if (this->isBusy || this->clock.now() < this->due) {
         return;
     }
+    if (this->firstDelay > Duration::zero() && !this->hasListed && !this->listener.isAlone()) {
+        this->due = this->clock.now() + seedPeriod; // Others were met by the seeds of the settings.
+        this->hasListed = true;
+        return;
+    }
+    this->hasListed = true;
     this->isBusy = true;
     this->store.list(balancersPrefix, [this](const absl::StatusOr<std::vector<StoreValue>>& values) { this->onList(values); });
 }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -19,6 +19,8 @@
 /** Time before the next try of a failed store call: doubles up to 20 s, with full jitter, so that a store that returns is not overrun. */
 Duration storeBackoff(Random& random, int failures);
 
+constexpr Duration seedHeadStart = 400ms; ///< For the seeds of the settings, before the store is asked for others.
+
 /** Lists the balancers that hold a lease, again and again. */
 class SeedFinder {
 public:
@@ -31,7 +33,8 @@
         virtual bool isAlone() const = 0;
     };
 
-    SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Listener& listener);
+    /** @param firstDelay Time that the seeds of the settings have before the store is asked. */
+    SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Duration firstDelay, Listener& listener);
 
     void tick();
 
@@ -42,10 +45,12 @@
     const Clock& clock;
     Random& random;
     std::string zone;
+    Duration firstDelay;
     Listener& listener;
     TimePoint due {};
     int failures = 0;
     bool isBusy = false;
+    bool hasListed = false;
 };
 
 /** What a balancer is told of the store. */
--- a/tests/program_test.py
+++ b/tests/program_test.py
@@ -39,11 +39,11 @@
     path = folder / "balancer.json"
     path.write_text(json.dumps({"listen": f"127.0.0.1:{port}", "zone": "a", "log": {"format": "json"}}))
     command = [str(build / "src" / "lavender-balancer"), "--config", str(path)]
-    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as first:
-        line = first.stderr.readline()
-        assert json.loads(line)["message"].startswith("started"), line
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as first:
+        line = first.stdout.readline()
+        assert json.loads(line)["event"] == "started", line
         second = run(*command)
-        assert second.returncode == 3 and "listen-failed" in second.stderr, second.stderr
+        assert second.returncode == 3 and json.loads(second.stdout)["event"] == "listen-failed", second.stdout
         first.terminate()
         assert first.wait(10) == 0
 
@@ -53,7 +53,7 @@
     path = folder / "balancer.json"
     settings = {"listen": f"127.0.0.1:{port}", "zone": "a", "stop": {"linger_ms": 0}}
     path.write_text(json.dumps(settings))
-    with subprocess.Popen([str(build / "src" / "lavender-balancer"), "--config", str(path)], stderr=subprocess.PIPE, text=True) as process:
+    with subprocess.Popen([str(build / "src" / "lavender-balancer"), "--config", str(path)], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True) as process:
         assert "started" in process.stderr.readline()
         path.write_text('{"listen": 7}')
         process.send_signal(signal.SIGHUP)
@@ -68,7 +68,7 @@
             seen.append(process.stderr.readline())
         assert any("settings-need-restart: /zone" in line for line in seen), seen
         process.terminate()
-        assert json.loads(process.stderr.readline())["message"].startswith("stop-begun")
+        assert json.loads(process.stdout.readline())["event"] == "stop-begun"
         assert process.wait(10) == 0
 
 
--- a/tests/steering_test.cpp
+++ b/tests/steering_test.cpp
@@ -101,7 +101,7 @@
     const std::vector<MemberRecord> records { agentRecord(0), agentRecord(1), agentRecord(2), agentRecord(3, MemberState::Draining) };
     const Configuration configuration = parseRules(testRules()).configuration;
     for (const char* name : { "product", "naive" }) {
-        const std::unique_ptr<Steering> steering = makeSteering(name);
+        const std::unique_ptr<Steering> steering = makeSteering(name, "");
         steering->update(0s, configuration.services[0], configuration, records);
         for (uint16_t port = 1024; port < 2024; ++port) {
             ForwardedPacket first { .packet = openingPacket(testFlow(port)) };
