Platform: balancers offer openings to one agent after the other

Ruled out: slow agents (under 0.03 cores), full queues (they answer). The store is asked for balancers at once.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -58,7 +58,8 @@
     } else if (const auto* exchange = std::get_if<DigestExchange>(&message)) {
         this->members.onDigestExchange(now, *exchange, actions);
     } else if (const auto* outcome = std::get_if<OpeningOutcome>(&message); outcome != nullptr && this->openings != nullptr) {
-        this->openings->onOutcome(now, *outcome);
+        this->openings->onOutcome(now, *outcome, actions);
+        this->refuseOpenings(now, actions);
     }
 }
 
@@ -81,12 +82,30 @@
     this->count.add(Counter::PacketsForwarded);
     if (this->openings != nullptr) {
         forwarded.balancer = this->settings.address;
+        if (packet.mark == PacketMark::Opening) {
+            this->openings->open(now, std::move(forwarded), actions);
+            this->refuseOpenings(now, actions);
+            return;
+        }
         this->openings->arrange(now, forwarded);
     }
     const Address first = forwarded.candidates.front();
     actions.push_back(SendMessage { first, std::move(forwarded) });
 }
 
+/** Full queues are met by silence: the caller's next copy, a fifth of a second later, may find room. */
+void Balancer::refuseOpenings(TimePoint now, Actions& actions)
+{
+    for (const RefusedOpening& opening : this->openings->takeRefused()) {
+        if (opening.isFull) {
+            this->count.add(Counter::OpeningsDeferred);
+            this->events->note(EventLevel::Info, "opening-deferred", { { "flow", formatFlow(opening.packet.flow) }, { "reason", "queues_full" } });
+        } else {
+            this->refuse(now, opening.packet, "no_agent_takes_it", actions);
+        }
+    }
+}
+
 /**
  * Answers an opening packet that nobody can take. Later copies and other packets get silence: their flow may be open
  * by a view that this balancer does not have.
@@ -243,9 +262,10 @@
     if (this->openings == nullptr) {
         return;
     }
-    for (Address agent : this->openings->tick(now)) {
+    for (Address agent : this->openings->tick(now, actions)) {
         this->nudge(agent, actions);
     }
+    this->refuseOpenings(now, actions);
     this->beginServing(now, actions);
 }
 
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -74,6 +74,7 @@
     void handle(TimePoint now, const Announce& announce, Actions& actions);
     void handle(TimePoint now, const Gossip& gossip, Actions& actions);
     void noteRevision(TimePoint now, Address peer, Revision revision, Actions& actions);
+    void refuseOpenings(TimePoint now, Actions& actions);
     void refuse(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions);
     void refreshTables(TimePoint now);
     void beginServing(TimePoint now, Actions& actions);
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -1,11 +1,11 @@
-/** @file opening_tracker.h What became of the opening packets that a balancer sent lately; no flow depends on it. */
+/** @file opening_tracker.h Finds an upstream for each opening packet; no open flow depends on what it keeps. */
 #pragma once
 
+#include "core/action_type.h"
 #include "core/address_type.h"
 #include "core/counter_type.h"
 #include "core/event_base.h"
 #include "core/time_type.h"
-#include "wire/message_type.h"
 
 #include <map>
 #include <unordered_map>
@@ -13,10 +13,17 @@
 
 namespace lavender {
 
+/** An opening packet that no agent takes. */
+struct RefusedOpening {
+    FlowPacket packet;
+    bool isFull = false; ///< Some agent would take it later: its queue is full now.
+};
+
 /**
- * Learns from openings that nobody answered which agents cannot be reached, long before their heartbeats are missed.
+ * Offers opening packets to one agent after the other until an upstream answers.
  *
- * Holds some seconds of openings, and nothing that grows with the open flows.
+ * An agent that leaves an offer unanswered is passed over from then on, long before its heartbeats are missed. Keeps
+ * some seconds of openings, and the owners of flows that are in use, which shortens their way and nothing else.
  */
 class OpeningTracker {
 public:
@@ -26,27 +33,36 @@
     {
     }
 
-    /** Puts the candidates of a packet in the order in which they are to be tried. */
+    /** Offers an opening packet, or a copy of one, to its candidates. */
+    void open(TimePoint now, ForwardedPacket forwarded, Actions& actions);
+
+    /** Puts the candidates of any other packet in the order in which they are to be asked. */
     void arrange(TimePoint now, ForwardedPacket& forwarded);
 
-    /** An upstream answered an opening packet, or no agent had one for it. */
-    void onOutcome(TimePoint now, const OpeningOutcome& outcome);
+    /** What an agent made of an offer. */
+    void onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions);
 
     /** Something was heard of the agent: it can be reached. */
     void onHeard(Address agent) { this->avoided.erase(agent); }
 
-    /** Judges openings without an answer. @return Agents that are to be asked for a sign of life now. */
-    std::vector<Address> tick(TimePoint now);
+    /** Judges offers without an answer. @return Agents that are to be asked for a sign of life now. */
+    std::vector<Address> tick(TimePoint now, Actions& actions);
 
-    bool isAvoided(Address agent) const { return this->avoided.contains(agent); }
+    /** Openings that no agent takes, since the last call. */
+    std::vector<RefusedOpening> takeRefused() { return std::exchange(this->refused, {}); }
 
 private:
     struct Opening {
-        Address target; ///< First agent of the latest copy.
-        TimePoint sent {};
-        bool isJudged = false; ///< Answered, or counted against the target.
-        Address owner; ///< Not valid until the upstream has answered.
-        std::vector<Address> tried; ///< Targets of earlier copies.
+        ForwardedPacket packet;
+        size_t offers = 0; ///< Candidates that were offered the packet.
+        Address target; ///< Who has the offer now; not valid where nobody does.
+        TimePoint offeredAt {};
+        TimePoint lastUse {};
+        Address owner; ///< Not valid until an upstream has answered.
+        Address fallback; ///< Agent with the shortest queue so far; not valid where none could take it.
+        uint16_t fallbackQueue = 0;
+        bool isPlaced = false; ///< Offered to the fallback.
+        bool isFull = false; ///< Some agent's queue is full.
     };
 
     struct Avoidance {
@@ -54,10 +70,16 @@
         TimePoint asked {};
     };
 
+    void begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions);
+    void offerNext(TimePoint now, Opening& opening, Actions& actions);
+    void offer(TimePoint now, Opening& opening, Address agent, Actions& actions);
+    void sortAvoided(std::vector<Address>& candidates) const;
+
     Counters& counters;
     EventSink& events;
     std::unordered_map<FlowKey, Opening> openings;
     std::map<Address, Avoidance> avoided;
+    std::vector<RefusedOpening> refused;
     TimePoint lastTick {};
 };
 
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -47,6 +47,7 @@
     PacketsReturned,
     ReportsDropped,
     AgentsAvoided,
+    OpeningsDeferred,
     Count, ///< Number of counters.
 };
 
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -110,23 +110,23 @@
 {
     const auto drop = [&](std::string_view reason) {
         this->count.add(Counter::ReportsDropped);
-        this->events.note(EventLevel::Warning, "report-dropped", { { "upstream", fresh.id }, { "reason", std::string(reason) }, { "sequence", std::to_string(fresh.sequence) }, { "held", this->report ? this->report->id : "none" } });
+        this->events.note(EventLevel::Warning, "report-dropped", { { "upstream", fresh.id }, { "reason", std::string(reason) }, { "sequence", std::to_string(fresh.sequence) }, { "held", this->latestReport ? this->latestReport->id : "none" } });
         return false;
     };
-    if (this->report && isSameLifetime(fresh, *this->report)) {
-        if (fresh.sequence <= this->report->sequence) {
+    if (this->latestReport && isSameLifetime(fresh, *this->latestReport)) {
+        if (fresh.sequence <= this->latestReport->sequence) {
             return drop("an earlier report that arrived late");
         }
-    } else if (this->report && !isLaterLifetime(fresh, *this->report)) {
+    } else if (this->latestReport && !isLaterLifetime(fresh, *this->latestReport)) {
         return drop("from an earlier lifetime");
     } else {
         this->beginLifetime(now, fresh);
     }
-    const bool wasDraining = this->report && this->report->isDraining;
+    const bool wasDraining = this->latestReport && this->latestReport->isDraining;
     if (fresh.isDraining != wasDraining) {
         this->events.note(EventLevel::Info, "upstream-draining", { { "upstream", fresh.id }, { "draining", fresh.isDraining ? "true" : "false" }, { "flows", std::to_string(this->flows.size()) } });
     }
-    this->report = fresh;
+    this->latestReport = fresh;
     this->reportedAt = now;
     this->unansweredSince = TimePoint {};
     this->hasSaidGoodbye = false;
@@ -139,17 +139,17 @@
 {
     this->firstReportAt = now;
     this->firstColdLeft = fresh.coldLeft;
-    this->events.note(EventLevel::Info, "upstream-started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->report ? this->report->id : "none" } });
+    this->events.note(EventLevel::Info, "upstream-started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->latestReport ? this->latestReport->id : "none" } });
 }
 
 void PacketAgent::onUpstreamGoodbye(TimePoint /*now*/, std::optional<uint64_t> started)
 {
-    const bool isEarlier = started && this->report && this->report->started && *started < *this->report->started;
+    const bool isEarlier = started && this->latestReport && this->latestReport->started && *started < *this->latestReport->started;
     if (isEarlier) {
         this->count.add(Counter::ReportsDropped);
         return;
     }
-    this->events.note(EventLevel::Info, "upstream-ended", { { "upstream", this->report ? this->report->id : "unknown" }, { "flows", std::to_string(this->flows.size()) } });
+    this->events.note(EventLevel::Info, "upstream-ended", { { "upstream", this->latestReport ? this->latestReport->id : "unknown" }, { "flows", std::to_string(this->flows.size()) } });
     this->hasSaidGoodbye = true;
 }
 
@@ -160,12 +160,12 @@
 bool PacketAgent::beganWithUpstream() const
 {
     const ServiceRule* rule = this->follower.current().findService(this->settings.service);
-    if (rule == nullptr || !rule->warmUp || !this->report || !this->report->started || this->firstColdLeft == Duration::zero()) {
+    if (rule == nullptr || !rule->warmUp || !this->latestReport || !this->latestReport->started || this->firstColdLeft == Duration::zero()) {
         return false;
     }
     const TimePoint began = this->firstReportAt - (*rule->warmUp - this->firstColdLeft);
     const auto slack = static_cast<uint64_t>(toMilliseconds(restartTime));
-    return began + restartTime >= this->settings.startedAt && *this->report->started + slack >= this->settings.incarnation;
+    return began + restartTime >= this->settings.startedAt && *this->latestReport->started + slack >= this->settings.incarnation;
 }
 
 bool PacketAgent::mayHoldUnknown(TimePoint now) const
@@ -192,8 +192,8 @@
     if (this->isStopping) {
         return Obstacle::Stopping;
     }
-    if (this->report && (this->report->isDraining || this->report->service != this->settings.service)) {
-        return this->report->isDraining ? Obstacle::Draining : Obstacle::OtherService;
+    if (this->latestReport && (this->latestReport->isDraining || this->latestReport->service != this->settings.service)) {
+        return this->latestReport->isDraining ? Obstacle::Draining : Obstacle::OtherService;
     }
     if (configuration.isZoneDraining(this->settings.zone) || configuration.isZoneOut(this->settings.zone)) {
         return Obstacle::ZoneDraining;
@@ -258,7 +258,7 @@
     } else if (obstacle == Obstacle::Silent || obstacle == Obstacle::OtherService) {
         state = MemberState::Shedding;
     }
-    const uint16_t slots = this->report ? this->report->slots : this->settings.slots;
+    const uint16_t slots = this->latestReport ? this->latestReport->slots : this->settings.slots;
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
     const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections && obstacle != Obstacle::QueueFull;
     if (isBelief && obstacle != this->loggedObstacle) {
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -116,7 +116,8 @@
 
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
-    void handleOpening(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
+    void handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
+    void report(const OpeningOutcome& outcome, Address balancer, Actions& actions);
     void hold(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void releaseHeld(TimePoint now, Actions& actions);
     void open(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
@@ -125,9 +126,8 @@
     void probe(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void probeFor(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void passOn(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
-    bool forwardToNext(ForwardedPacket& forwarded, bool isOpening, Actions& actions);
+    bool forwardToNext(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
-    void refuse(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, std::string_view reason, Actions& actions);
     void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
     void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
     bool mayDeclareLost(TimePoint now) const;
@@ -162,7 +162,7 @@
     size_t waitingFlows = 0; ///< Flows whose upstream owes an answer.
     double searchTokens = 0;
     ColdGate gate;
-    std::optional<UpstreamReport> report; ///< Latest that counts.
+    std::optional<UpstreamReport> latestReport; ///< That counts.
     TimePoint reportedAt {};
     Duration firstColdLeft {}; ///< As the first report of the lifetime said.
     TimePoint firstReportAt {};
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -26,6 +26,7 @@
     uint32_t upstreamSequence = 0; ///< Of the upstream's answer to the opening packet.
     uint32_t callerAcknowledged = 0; ///< Latest that the caller acknowledged.
     Address balancer; ///< Where the opening packet came in; not valid where unknown.
+    Address home; ///< First choice of the balancer; told where the flow is if that is elsewhere.
     Address asker; ///< Agent that searches for the flow and waits for word of it; else not valid.
     TimePoint offeredAt {};
     TimePoint waitingSince {};
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -40,8 +40,9 @@
         if (isUnknown || flow.stage == FlowStage::Offered || flow.stage == FlowStage::Probing) {
             flow.stage = FlowStage::Answered;
             flow.upstreamSequence = segment.sequence;
-            if (flow.balancer.isValid()) {
-                actions.push_back(SendMessage { flow.balancer, OpeningOutcome { key, this->settings.address, true } });
+            this->report({ key, this->settings.address, OpeningResult::Accepted }, flow.balancer, actions);
+            if (flow.home.isValid() && flow.home != this->settings.address) {
+                this->answerAsker(key, flow.home, true, actions);
             }
         }
     } else if (flow.stage == FlowStage::Probing) {
@@ -77,25 +78,28 @@
             return;
         }
         const Address asker = found->second.asker;
+        const Address balancer = found->second.balancer;
         this->forget(key);
+        if (segment.isOpening) {
+            this->report({ key, this->settings.address, OpeningResult::Refused }, balancer, actions);
+            return;
+        }
         if (asker.isValid()) {
             this->remember(now, key, {});
             this->answerAsker(key, asker, false, actions);
             return;
         }
     }
+    if (segment.isOpening) {
+        return; // Nobody waits for it any more.
+    }
     this->remember(now, key, {});
-    ForwardedPacket forwarded { .packet = { .flow = key, .mark = segment.isOpening ? PacketMark::Opening : PacketMark::Middle, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash };
+    ForwardedPacket forwarded { .packet = { .flow = key, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash };
     this->codec.clearReturned(forwarded.packet.payload);
     this->fillCandidates(forwarded);
     (void)markVisited(forwarded, this->settings.address);
     forwarded.hops = 1;
-    if (this->forwardToNext(forwarded, segment.isOpening, actions)) {
-        return;
-    }
-    if (segment.isOpening) {
-        this->refuse(now, segment, forwarded, "upstream_full", actions);
-    } else {
+    if (!this->forwardToNext(forwarded, actions)) {
         this->beginSearch(now, forwarded, actions);
     }
 }
@@ -103,7 +107,7 @@
 void PacketAgent::resetFlow(const FlowKey& key, const PacketFlow& flow, std::string_view reason, Actions& actions)
 {
     this->count.add(Counter::FlowsReset);
-    this->events.note(EventLevel::Info, "flow-reset", { { "flow", formatFlow(key) }, { "reason", std::string(reason) }, { "upstream", this->report ? this->report->id : "unknown" } });
+    this->events.note(EventLevel::Info, "flow-reset", { { "flow", formatFlow(key) }, { "reason", std::string(reason) }, { "upstream", this->latestReport ? this->latestReport->id : "unknown" } });
     pushToCaller(actions, key, this->codec.makeReset(key, flow.callerAcknowledged));
 }
 
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -13,9 +13,6 @@
 
     constexpr Duration traceTime = 10s; ///< Renewed by each packet that follows the trace.
     constexpr uint32_t acknowledgeWindow = 1U << 16U; ///< Of a first acknowledgement behind the upstream's number.
-    constexpr uint8_t busyHops = 5; ///< Agents that an opening packet passes in search of a free slot.
-    constexpr uint8_t openingHops = 9; ///< Agents that an opening packet passes in search of any that takes it.
-    constexpr Duration settlingTime = 2s; ///< After a start the agent may not know the others: it refuses nothing.
     constexpr size_t maximumSearches = 1024;
     constexpr size_t maximumHeld = 256; ///< Opening packets of 31 bytes.
     constexpr Duration holdTime = 400ms; ///< The time between a caller's first and last copies.
@@ -55,7 +52,7 @@
         this->probeFor(now, *segment, forwarded, actions);
         return;
     }
-    if (segment->isOpening && forwarded.isPlaced) {
+    if (segment->isOpening) {
         this->handleOpening(now, *segment, forwarded, actions);
         return;
     }
@@ -67,11 +64,7 @@
             return;
         }
     }
-    if (segment->isOpening) {
-        this->handleOpening(now, *segment, forwarded, actions);
-    } else {
-        this->passOn(now, *segment, forwarded, actions);
-    }
+    this->passOn(now, *segment, forwarded, actions);
 }
 
 /** @return False where the packet has to go elsewhere. */
@@ -127,7 +120,8 @@
     pushToUpstream(actions, packet);
 }
 
-void PacketAgent::handleOpening(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions)
+/** Takes an opening packet, or tells the balancer why not. */
+void PacketAgent::handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
 {
     if (!this->follower.hasAny()) {
         this->hold(now, forwarded, actions);
@@ -135,33 +129,26 @@
     }
     const Obstacle obstacle = this->obstacle(now, segment);
     const auto slots = static_cast<size_t>(this->peers.self().slots);
-    const bool isBusy = this->waitingFlows >= slots;
-    if (obstacle == Obstacle::None && (!isBusy || forwarded.isPlaced)) {
+    if (obstacle == Obstacle::None && (this->waitingFlows < slots || forwarded.isPlaced)) {
         this->open(now, segment, forwarded, actions);
         return;
     }
+    OpeningOutcome outcome { .flow = forwarded.packet.flow, .agent = this->settings.address };
     if (obstacle == Obstacle::None) {
-        const auto queue = static_cast<uint16_t>(std::min<size_t>(this->waitingFlows - slots, UINT16_MAX));
-        if (!forwarded.fallback.isValid() || queue < forwarded.fallbackQueue) {
-            forwarded.fallback = this->settings.address;
-            forwarded.fallbackQueue = queue;
-        }
-    }
-    forwarded.isPlaced = false;
-    const bool mayGoOn = forwarded.hops < (forwarded.fallback.isValid() ? busyHops : openingHops);
-    if (mayGoOn && this->forwardToNext(forwarded, true, actions)) {
-        return;
+        outcome.result = OpeningResult::Busy;
+        outcome.queue = static_cast<uint16_t>(std::min<size_t>(this->waitingFlows - slots, UINT16_MAX));
+    } else if (obstacle == Obstacle::QueueFull) {
+        outcome.result = OpeningResult::Full;
     }
-    if (forwarded.fallback == this->settings.address) {
-        this->open(now, segment, forwarded, actions);
-    } else if (forwarded.fallback.isValid()) {
-        const Address fallback = forwarded.fallback;
-        forwarded.isPlaced = true;
-        forwarded.fallback = {};
-        this->remember(now, forwarded.packet.flow, fallback);
-        this->forward(forwarded, fallback, actions);
-    } else {
-        this->refuse(now, segment, forwarded, toText(obstacle), actions);
+    this->count.add(Counter::FlowsRefused);
+    this->events.note(EventLevel::Debug, "opening-passed", { { "flow", formatFlow(forwarded.packet.flow) }, { "reason", std::string(toText(obstacle)) }, { "busy", std::to_string(this->waitingFlows) }, { "slots", std::to_string(slots) }, { "revision", std::to_string(this->follower.revision()) } });
+    this->report(outcome, forwarded.balancer, actions);
+}
+
+void PacketAgent::report(const OpeningOutcome& outcome, Address balancer, Actions& actions)
+{
+    if (balancer.isValid()) {
+        actions.push_back(SendMessage { balancer, outcome });
     }
 }
 
@@ -193,6 +180,7 @@
     PacketFlow& flow = this->flows[forwarded.packet.flow];
     flow.offeredAt = now;
     flow.balancer = forwarded.balancer;
+    flow.home = forwarded.home;
     this->traces.erase(forwarded.packet.flow);
     this->gate.noteOpening(now);
     if (this->unansweredSince == TimePoint {}) {
@@ -204,21 +192,6 @@
     this->deliver(now, flow, segment, forwarded.packet.payload, actions);
 }
 
-/** A reset is sent for the first copy only: a later one may belong to a flow that another upstream has opened. */
-void PacketAgent::refuse(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, std::string_view reason, Actions& actions)
-{
-    const bool maySay = segment.acknowledged == 0 && now - this->settings.startedAt >= settlingTime;
-    this->count.add(Counter::FlowsRefused);
-    this->events.note(EventLevel::Info, "flow-refused", { { "flow", formatFlow(segment.flowOfCaller()) }, { "reason", std::string(reason) }, { "peers", std::to_string(this->peers.others().size()) }, { "reset", maySay ? "true" : "false" } });
-    if (maySay) {
-        const FlowKey key = segment.flowOfCaller();
-        pushToCaller(actions, key, this->codec.makeReset(key, 0));
-    }
-    if (forwarded.balancer.isValid()) {
-        actions.push_back(SendMessage { forwarded.balancer, OpeningOutcome { segment.flowOfCaller(), this->settings.address, false } });
-    }
-}
-
 /** True where the own upstream may hold a flow that began before this process. */
 bool PacketAgent::isUnsureOf(TimePoint now, const FlowKey& flow) const
 {
@@ -259,43 +232,21 @@
         this->probe(now, segment, forwarded, actions);
         return;
     }
-    if (!this->forwardToNext(forwarded, false, actions)) {
+    if (!this->forwardToNext(forwarded, actions)) {
         this->beginSearch(now, forwarded, actions);
     }
 }
 
-bool PacketAgent::forwardToNext(ForwardedPacket& forwarded, bool isOpening, Actions& actions)
+bool PacketAgent::forwardToNext(ForwardedPacket& forwarded, Actions& actions)
 {
-    const auto mayReceive = [&](Address agent) {
+    const auto next = std::find_if(forwarded.candidates.begin(), forwarded.candidates.end(), [&](Address agent) {
         const MemberRecord* record = this->peers.find(agent);
-        if (isVisited(forwarded, agent) || agent == this->settings.address) {
-            return false;
-        }
-        if (record == nullptr) {
-            return true; // Unknown here, but the balancer named it.
-        }
-        const bool mayOpen = isEligible(*record) && !this->follower.current().isZoneDraining(record->zone);
-        return isOpening ? mayOpen : record->liveness != Liveness::Gone;
-    };
-    const auto next = std::find_if(forwarded.candidates.begin(), forwarded.candidates.end(), mayReceive);
-    Address target = next == forwarded.candidates.end() ? Address {} : *next;
-    if (isOpening && !target.isValid()) {
-        uint64_t best = 0;
-        for (const MemberRecord& peer : this->peers.others()) {
-            const uint64_t rank = hashPair(hashFlow(forwarded.packet.flow), peer.address.packed());
-            if (mayReceive(peer.address) && rank >= best) {
-                best = rank;
-                target = peer.address;
-            }
-        }
-    }
-    if (!target.isValid()) {
+        return !isVisited(forwarded, agent) && (record == nullptr || record->liveness != Liveness::Gone);
+    });
+    if (next == forwarded.candidates.end()) {
         return false;
     }
-    if (isOpening) {
-        this->remember(this->lastTick, forwarded.packet.flow, target);
-    }
-    this->forward(forwarded, target, actions);
+    this->forward(forwarded, Address(*next), actions);
     return true;
 }
 
@@ -387,7 +338,10 @@
 void PacketAgent::handle(TimePoint now, const FlowQueryReply& reply, Actions& actions)
 {
     const auto found = this->searches.find(reply.flow);
-    if (found == this->searches.end() || reply.owner == this->settings.address) {
+    if (found == this->searches.end()) {
+        if (reply.owner.isValid() && reply.owner != this->settings.address && !this->flows.contains(reply.flow)) {
+            this->remember(now, reply.flow, reply.owner); // A flow that was opened elsewhere than at its home, this agent.
+        }
         return;
     }
     Search& search = found->second;
--- a/src/steer/steering.cpp
+++ b/src/steer/steering.cpp
@@ -29,6 +29,19 @@
         return choice.ranked[0] != choice.home ? choice.ranked[0] : choice.second;
     }
 
+    /** Adds eligible members beyond the ranked ones, from a place that the flow's hash picks. */
+    void addMore(ForwardedPacket& forwarded, const BucketTable* table, uint64_t hash)
+    {
+        constexpr size_t openingCandidates = 12;
+        const auto members = table == nullptr ? std::span<const BucketMember>() : table->members();
+        for (size_t step = 0; step < members.size() && forwarded.candidates.size() < openingCandidates; ++step) {
+            const BucketMember& member = members[(hash / bucketCount + step) % members.size()];
+            if (member.isEligible) {
+                addCandidate(forwarded, member.address);
+            }
+        }
+    }
+
     bool sameMembers(std::span<const BucketMember> left, std::span<const BucketMember> right)
     {
         return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const BucketMember& one, const BucketMember& other) {
@@ -142,6 +155,9 @@
             }
         }
     }
+    if (isOpening) {
+        addMore(forwarded, this->tableOf(service), hash);
+    }
     if (forwarded.candidates.empty()) {
         return false;
     }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -19,7 +19,7 @@
 /** Time before the next try of a failed store call: doubles up to 20 s, with full jitter, so that a store that returns is not overrun. */
 Duration storeBackoff(Random& random, int failures);
 
-constexpr Duration seedHeadStart = 400ms; ///< For the seeds of the settings, before the store is asked for others.
+constexpr Duration seedHeadStart = 20ms; ///< For the seeds of the settings, before the store is asked for others.
 
 /** Lists the balancers that hold a lease, again and again. */
 class SeedFinder {
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -41,6 +41,7 @@
     { "packets_returned", "Packets that the upstream gave back" },
     { "reports_dropped", "Reports of upstreams that were late or of an earlier lifetime" },
     { "agents_avoided", "Agents passed over for a while: opening packets went unanswered" },
+    { "openings_deferred", "Opening packets left to the caller's next copy: all queues were full" },
 } };
 
 } // namespace lavender
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -54,9 +54,7 @@
     bool isPlaced = false; ///< An opening packet whose owner has been chosen.
     Address home; ///< Agent that chooses the owner of an opening packet.
     Address balancer; ///< Where the packet entered; hears who took an opening one. Not valid where nobody asks.
-    Address fallback; ///< Agent with the shortest queue so far that could take an opening packet; not valid where none could.
     Address asker; ///< Agent that searches for the flow and wants to hear whether the receiver's upstream holds it; else not valid.
-    uint16_t fallbackQueue = 0; ///< Requests beyond the slots at the fallback.
 
     bool operator==(const ForwardedPacket&) const = default;
 };
@@ -177,11 +175,20 @@
     bool operator==(const Snapshot&) const = default;
 };
 
+/** What an agent makes of an opening packet that it is offered. */
+enum class OpeningResult : uint8_t {
+    Accepted, ///< Its upstream has answered.
+    Busy, ///< No slot is free; it takes the packet where no other agent has one.
+    Full, ///< Its queue is full for now.
+    Refused, ///< Its upstream takes no new flow: it leaves, is silent, or cold.
+};
+
 /** Tells the balancer what became of an opaque flow's opening packet. */
 struct OpeningOutcome {
     FlowKey flow;
-    Address agent; ///< Beside the upstream that answered, or the agent that found none for it.
-    bool isAccepted = false;
+    Address agent;
+    OpeningResult result = OpeningResult::Refused;
+    uint16_t queue = 0; ///< Requests beyond the slots, for Busy.
     bool operator==(const OpeningOutcome&) const = default;
 };
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -98,14 +98,15 @@
     transferList(archive, forwarded.candidates, maximumCandidates);
     archive(forwarded.visited, forwarded.hops);
     transferBool(archive, forwarded.isPlaced);
-    archive(forwarded.home, forwarded.balancer, forwarded.fallback, forwarded.asker, forwarded.fallbackQueue);
+    archive(forwarded.home, forwarded.balancer, forwarded.asker);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, OpeningOutcome& outcome)
 {
     archive(outcome.flow, outcome.agent);
-    transferBool(archive, outcome.isAccepted);
+    transferEnum(archive, outcome.result, OpeningResult::Refused);
+    archive(outcome.queue);
 }
 
 template <typename Archive>
