--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -7,6 +7,7 @@
 #include "config/follower_base.h"
 #include "core/action_type.h"
 #include "core/counter_type.h"
+#include "core/metrics_func.h"
 #include "core/random_base.h"
 #include "steer/bucket_table.h"
 
@@ -67,6 +68,7 @@
     /** Says farewell to the balancers; the last thing before the process ends. */
     void leave(TimePoint now, Actions& actions) { this->peers.leave(now, this->follower.revision(), actions); }
 
+    MetricsView metrics() const { return { .counters = &this->count, .gauges = { { "flows", this->flows.size() }, { "requests_in_flight", this->requests.inFlight() } } }; }
     std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
     const Counters& counters() const { return this->count; }
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -345,6 +345,15 @@
     return better < watchersPerZone;
 }
 
+MetricsView Balancer::metrics() const
+{
+    MetricsView view { .counters = &this->count, .gauges = { { "balancers", this->members.balancers("").size() + 1 }, { "members", this->members.table().all().size() }, { "revision", this->follower.revision() } } };
+    if (this->openings != nullptr) {
+        view.histograms.emplace_back("placement", &this->openings->placements());
+    }
+    return view;
+}
+
 std::string Balancer::status(TimePoint now, uint64_t droppedDatagrams) const
 {
     StatusView view { .role = "balancer", .address = this->settings.address, .zone = this->settings.zone, .revision = this->follower.revision(), .counters = &this->count };
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -5,6 +5,7 @@
 #include "config/follower_base.h"
 #include "core/action_type.h"
 #include "core/counter_type.h"
+#include "core/metrics_func.h"
 #include "core/random_base.h"
 #include "member/gossip_base.h"
 #include "packet/segment_base.h"
@@ -62,6 +63,8 @@
     /** True where this balancer is one of those of its zone that watch the store. */
     bool isWatcher() const;
 
+    MetricsView metrics() const;
+
     /** State of the process as JSON. */
     std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -52,7 +52,7 @@
 
 void OpeningTracker::begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions)
 {
-    opening = { .packet = std::move(forwarded), .lastUse = now };
+    opening = { .packet = std::move(forwarded), .begunAt = now, .lastUse = now };
     this->sortAvoided(opening.packet.candidates);
     this->offerNext(now, opening, actions);
 }
@@ -94,6 +94,7 @@
     Opening& opening = found->second;
     switch (outcome.result) {
     case OpeningResult::Accepted:
+        this->latencies.add(now - opening.begunAt);
         opening.owner = outcome.agent;
         opening.target = {};
         opening.lastUse = now;
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -5,6 +5,7 @@
 #include "core/address_type.h"
 #include "core/counter_type.h"
 #include "core/event_base.h"
+#include "core/latency_histogram.h"
 #include "core/time_type.h"
 
 #include <map>
@@ -51,12 +52,16 @@
     /** Openings that no agent takes, since the last call. */
     std::vector<RefusedOpening> takeRefused() { return std::exchange(this->refused, {}); }
 
+    /** From the arrival of an opening to an upstream's answer. */
+    const LatencyHistogram& placements() const { return this->latencies; }
+
 private:
     struct Opening {
         ForwardedPacket packet;
         size_t offers = 0; ///< Candidates that were offered the packet.
         Address target; ///< Who has the offer now; not valid where nobody does.
         TimePoint offeredAt {};
+        TimePoint begunAt {};
         TimePoint lastUse {};
         Address owner; ///< Not valid until an upstream has answered.
         Address fallback; ///< Agent with the shortest queue so far; not valid where none could take it.
@@ -80,6 +85,7 @@
     std::unordered_map<FlowKey, Opening> openings;
     std::map<Address, Avoidance> avoided;
     std::vector<RefusedOpening> refused;
+    LatencyHistogram latencies;
     TimePoint lastTick {};
 };
 
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,43 @@
+/** @file metrics.cpp Text format 0.0.4. */
+#include "core/metrics_func.h"
+
+#include "core/text_func.h"
+
+namespace lavender {
+
+namespace {
+
+    void appendHistogram(std::string& text, std::string_view name, const LatencyHistogram& histogram)
+    {
+        appendText(text, "# TYPE lavender_", name, "_seconds histogram\n");
+        uint64_t below = 0;
+        for (size_t range = 0; range <= LatencyHistogram::bounds.size(); ++range) {
+            below += histogram.count(range);
+            const bool isLast = range == LatencyHistogram::bounds.size();
+            const std::string bound = isLast ? "+Inf" : fmt::format("{:g}", std::chrono::duration<double>(LatencyHistogram::bounds[range]).count());
+            appendText(text, "lavender_", name, "_seconds_bucket{le=\"", bound, "\"} ", below, "\n");
+        }
+        appendText(text, "lavender_", name, "_seconds_sum ", std::chrono::duration<double>(histogram.sum()).count(), "\n");
+        appendText(text, "lavender_", name, "_seconds_count ", below, "\n");
+    }
+
+} // namespace
+
+std::string formatMetrics(const MetricsView& view)
+{
+    std::string text;
+    for (size_t index = 0; index < counterTable.size(); ++index) {
+        const CounterDescription& counter = counterTable[index];
+        appendText(text, "# HELP lavender_", counter.name, "_total ", counter.help, "\n# TYPE lavender_", counter.name, "_total counter\n");
+        appendText(text, "lavender_", counter.name, "_total ", view.counters->get(static_cast<Counter>(index)), "\n");
+    }
+    for (const auto& [name, value] : view.gauges) {
+        appendText(text, "# TYPE lavender_", name, " gauge\nlavender_", name, " ", value, "\n");
+    }
+    for (const auto& [name, histogram] : view.histograms) {
+        appendHistogram(text, name, *histogram);
+    }
+    return text;
+}
+
+} // namespace lavender
--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -42,7 +42,7 @@
     public:
         /** @param text The settings file, @param path where it was read. */
         AgentProcess(const AgentProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen)
+            : Process(settings.listen, settings.metrics)
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
@@ -105,6 +105,7 @@
             this->agent.onSeeds(fresh.seeds);
         }
 
+        MetricsView metrics() const override { return this->agent.metrics(); }
         std::string openWork() const override
         {
             const size_t flows = this->agent.flowTable().size();
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -24,7 +24,7 @@
     public:
         /** @param text The settings file, @param path where it was read. */
         BalancerProcess(const BalancerProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen)
+            : Process(settings.listen, settings.metrics)
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
@@ -75,6 +75,7 @@
             this->settings.seeds = fresh.seeds;
         }
 
+        MetricsView metrics() const override { return this->balancer.metrics(); }
         std::string openWork() const override { return ""; }
         std::string status(TimePoint now, uint64_t dropped) const override { return this->balancer.status(now, dropped); }
         Snapshot makeSnapshot(const SnapshotAsk& ask) const override { return this->balancer.makeSnapshot(ask); }
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -24,7 +24,7 @@
     class PacketAgentProcess final : public Process, public SeedFinder::Listener, public platform::ReportListener {
     public:
         PacketAgentProcess(const AgentProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen)
+            : Process(settings.listen, settings.metrics)
             , events(this->clock)
             , settings(settings)
             , settingsText(std::move(text))
@@ -63,6 +63,7 @@
         void onMessage(TimePoint now, const Message& message, Actions& actions) override { this->agent.onMessage(now, message, actions); }
         void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions) override { this->agent.onSnapshot(now, snapshot, actions); }
         std::string status(TimePoint now, uint64_t dropped) const override { return this->agent.status(now, dropped); }
+        MetricsView metrics() const override { return this->agent.metrics(); }
         std::string openWork() const override { return ""; }
 
         void onTick(TimePoint now, Actions& actions) override
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -53,9 +53,10 @@
     return G_SOURCE_REMOVE;
 }
 
-Process::Process(Address listen)
+Process::Process(Address listen, Address metrics)
     : random(static_cast<uint64_t>(g_random_int()) << 32U | g_random_int())
     , listen(listen)
+    , metricsAddress(metrics)
     , loop(g_main_loop_new(nullptr, FALSE))
 {
 }
@@ -84,6 +85,16 @@
         return ExitCode::Unavailable;
     }
     this->snapshots = std::move(*server);
+    if (this->metricsAddress.isValid()) {
+        auto pages = HttpServer::open(this->metricsAddress, [this](std::string_view /*method*/, std::string_view path, std::string_view /*body*/) {
+            return path == "/metrics" ? HttpReply { .body = formatMetrics(this->metrics()), .contentType = "text/plain; version=0.0.4" } : HttpReply { .status = 404 };
+        });
+        if (!pages.ok()) {
+            logError("listen-failed", pages.status().ToString());
+            return ExitCode::Unavailable;
+        }
+        this->metricsServer = std::move(*pages);
+    }
     this->ticker.start(tickPeriod, [this] {
         Actions actions;
         this->onTick(Process::now(), actions);
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -4,7 +4,9 @@
 #include "core/action_type.h"
 #include "core/clock_base.h"
 #include "core/counter_type.h"
+#include "core/metrics_func.h"
 #include "core/random_base.h"
+#include "daemon/http_server.h"
 #include "daemon/snapshot_channel.h"
 #include "daemon/udp_socket.h"
 #include "wire/codec_func.h"
@@ -56,7 +58,8 @@
 /** The part of a daemon that talks to the outside; the decisions are its subclass's. */
 class Process {
 public:
-    explicit Process(Address listen);
+    /** @param metrics Where metrics are served; not valid: nowhere. */
+    Process(Address listen, Address metrics);
     virtual ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
@@ -79,6 +82,9 @@
     virtual Snapshot makeSnapshot(const SnapshotAsk& ask) const = 0;
     virtual void perform(const Action& action);
 
+    /** What is served as metrics. */
+    virtual MetricsView metrics() const = 0;
+
     /** Carries out what the library decided. */
     void performAll(const Actions& actions);
     /** Ends the main loop. */
@@ -102,9 +108,11 @@
     void onDatagram(Address from, std::span<const uint8_t> bytes);
 
     Address listen;
+    Address metricsAddress;
     GMainLoop* loop;
     std::unique_ptr<UdpSocket> udp;
     std::unique_ptr<SnapshotServer> snapshots;
+    std::unique_ptr<HttpServer> metricsServer;
     LoopTimer ticker;
     uint64_t dropped = 0; ///< Datagrams that were too large or did not decode.
     ExitCode code = ExitCode::Done;
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -355,6 +355,11 @@
     this->peers.tick(now, this->follower.revision(), actions);
 }
 
+MetricsView PacketAgent::metrics() const
+{
+    return { .counters = &this->count, .gauges = { { "flows", this->flows.size() }, { "requests_in_flight", this->waitingFlows }, { "revision", this->follower.revision() } }, .histograms = { { "handshake", &this->handshakes }, { "answer", &this->answers } } };
+}
+
 std::string PacketAgent::status(TimePoint now, uint64_t droppedDatagrams) const
 {
     StatusView view { .role = "agent", .address = this->settings.address, .zone = this->settings.zone, .service = this->settings.service, .state = toString(this->peers.self().state), .revision = this->follower.revision(), .counters = &this->count };
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -6,6 +6,7 @@
 #include "core/action_type.h"
 #include "core/counter_type.h"
 #include "core/event_base.h"
+#include "core/metrics_func.h"
 #include "packet/cold_gate.h"
 #include "packet/packet_flow.h"
 #include "packet/segment_base.h"
@@ -60,6 +61,7 @@
     /** Begins to leave: no new flow. */
     void beginStop(TimePoint now, Actions& actions);
 
+    MetricsView metrics() const;
     std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
     const Counters& counters() const { return this->count; }
@@ -160,6 +162,8 @@
     std::unordered_map<FlowKey, Search> searches;
     std::vector<HeldOpening> held;
     size_t waitingFlows = 0; ///< Flows whose upstream owes an answer.
+    LatencyHistogram handshakes; ///< From an opening to the upstream's answer.
+    LatencyHistogram answers; ///< From a caller's data to the first data back.
     double searchTokens = 0;
     ColdGate gate;
     std::optional<UpstreamReport> latestReport; ///< That counts.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -40,6 +40,7 @@
         if (isUnknown || flow.stage == FlowStage::Offered || flow.stage == FlowStage::Probing) {
             flow.stage = FlowStage::Answered;
             flow.upstreamSequence = segment.sequence;
+            this->handshakes.add(now - flow.offeredAt);
             this->report({ key, this->settings.address, OpeningResult::Accepted }, flow.balancer, actions);
             if (flow.home.isValid() && flow.home != this->settings.address) {
                 this->answerAsker(key, flow.home, true, actions);
@@ -52,6 +53,9 @@
         }
     }
     if (segment.dataBytes > 0) {
+        if (flow.isWaiting) {
+            this->answers.add(now - flow.waitingSince);
+        }
         this->setWaiting(now, flow, false);
     }
     flow.isUpstreamDone = flow.isUpstreamDone || segment.isFinishing;
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -237,6 +237,7 @@
         .fabricListen = values->address("/fabric/listen"),
         .fabricReady = values->address("/fabric/ready"),
         .linger = values->milliseconds("/stop/linger_ms"),
+        .metrics = values->address("/metrics"),
         .logFormat = values->text("/log/format"),
         .logLevel = values->text("/log/level"),
     };
@@ -270,6 +271,7 @@
         .seeds = seedsOf(*values),
         .drainTime = values->seconds("/stop/drain_s"),
         .linger = values->milliseconds("/stop/linger_ms"),
+        .metrics = values->address("/metrics"),
         .logFormat = values->text("/log/format"),
         .logLevel = values->text("/log/level"),
     };
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -54,6 +54,7 @@
     Address fabricListen; ///< Not valid where flows carry the project's own exchanges.
     Address fabricReady;
     Duration linger {};
+    Address metrics; ///< Not valid where none are served.
     std::string logFormat;
     std::string logLevel;
 };
@@ -78,6 +79,7 @@
     std::vector<Address> seeds;
     Duration drainTime {};
     Duration linger {};
+    Address metrics; ///< Not valid where none are served.
     std::string logFormat;
     std::string logLevel;
 };
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -13,6 +13,7 @@
     constexpr SettingDescription storeTimeoutSetting { "/store/timeout_ms", SettingKind::Number, "2000", false, 10, 60'000, "", "A store call without an answer fails after this time" };
     constexpr SettingDescription seedsSetting { "/seeds", SettingKind::AddressList, "[]", false, 0, 0, "", "Balancers to ask first, besides those that the store names", true };
     constexpr SettingDescription logFormatSetting { "/log/format", SettingKind::Choice, "text", false, 0, 0, "text|json", "Form of the log lines: text on standard error, or json, one object a line on standard output", true };
+    constexpr SettingDescription metricsSetting { "/metrics", SettingKind::AddressText, "", false, 0, 0, "", "Where counters and latencies are served at /metrics; without it they are not" };
     constexpr SettingDescription storeDialectSetting { "/store/dialect", SettingKind::Choice, "etcd", false, 0, 0, "etcd|kv", "How the store speaks: the etcd v3 gateway, or the platform's key-value interface" };
     constexpr SettingDescription seedsPortSetting { "/seeds_port", SettingKind::Number, "0", false, 0, 65'535, "", "Port of every seed, where the list names another one; 0 leaves it as listed" };
     constexpr SettingDescription logLevelSetting { "/log/level", SettingKind::Choice, "info", false, 0, 0, "debug|info|warn|error", "Least level that is logged", true };
@@ -32,6 +33,7 @@
         SettingDescription { "/fabric/listen", SettingKind::AddressText, "", false, 0, 0, "", "Where the platform's routers deliver opaque packets; without it flows carry the project's own exchanges" },
         SettingDescription { "/fabric/ready", SettingKind::AddressText, "", false, 0, 0, "", "Where the platform's routers ask whether to deliver; required with /fabric/listen", false, "/fabric/listen" },
         SettingDescription { "/stop/linger_ms", SettingKind::Number, "2000", false, 0, 600'000, "", "After the signal to stop, packets are still forwarded for this time", true },
+        metricsSetting,
         logFormatSetting,
         logLevelSetting,
     };
@@ -56,6 +58,7 @@
         seedsPortSetting,
         SettingDescription { "/stop/drain_s", SettingKind::Number, "300", false, 1, 86'400, "", "After the signal to stop, open work is given up after this time", true },
         SettingDescription { "/stop/linger_ms", SettingKind::Number, "3000", false, 0, 600'000, "", "After the last flow has moved, late packets are still passed on for this time", true },
+        metricsSetting,
         logFormatSetting,
         logLevelSetting,
     };
--- /dev/null
+++ b/tests/packet_agent_test.cpp
@@ -0,0 +1,268 @@
+/** @file packet_agent_test.cpp Opaque flows: who takes an opening, where a packet goes, when a reset is true. */
+#include "packet_test.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+using namespace lavender::test;
+
+TEST_GROUP(PacketAgent) {};
+
+TEST(PacketAgent, OpensAFlowAndTellsTheBalancer)
+{
+    PacketScene scene;
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+    scene.fromUpstream(makePacket(packetService, caller(1), OpeningFlag | AcknowledgingFlag, 1000, 1));
+    CHECK_EQUAL(1, scene.of<SendToCaller>().size());
+    const auto sends = scene.of<SendMessage>();
+    CHECK_EQUAL(1, sends.size());
+    CHECK(sends.front()->to == packetBalancer);
+    CHECK(std::get<OpeningOutcome>(sends.front()->message).result == OpeningResult::Accepted);
+}
+
+TEST(PacketAgent, PacketsReachTheUpstreamUnchanged)
+{
+    PacketScene scene;
+    scene.open(1);
+    const Bytes packet = makePacket(caller(1), packetService, AcknowledgingFlag, 1, 1001, 600);
+    scene.receive(packet);
+    CHECK(scene.of<SendToUpstream>().front()->packet == packet);
+}
+
+TEST(PacketAgent, SaysBusyWhenNoSlotIsFreeAndFullWhenTheQueueIs)
+{
+    PacketScene scene;
+    for (uint16_t port = 1; port <= 2; ++port) {
+        scene.receive(makePacket(caller(port), packetService, OpeningFlag));
+    }
+    scene.receive(makePacket(caller(3), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Busy);
+    for (uint16_t port = 4; port <= 6; ++port) {
+        ForwardedPacket placed = scene.forwarded(makePacket(caller(port), packetService, OpeningFlag));
+        placed.isPlaced = true;
+        scene.actions.clear();
+        scene.agent.onMessage(scene.now, placed, scene.actions);
+        CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+    }
+    scene.receive(makePacket(caller(7), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Full);
+}
+
+/** Pattern: herd after recovery. Copies are late already; what is fresh may still be in time. */
+TEST(PacketAgent, CopiesTakeFreeSlotsOnly)
+{
+    PacketScene scene;
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag, 0, 2));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+    scene.receive(makePacket(caller(3), packetService, OpeningFlag, 0, 1));
+    CHECK(scene.outcome() == OpeningResult::Full);
+    scene.receive(makePacket(caller(4), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Busy);
+}
+
+TEST(PacketAgent, AnAnswerFreesItsSlot)
+{
+    PacketScene scene;
+    scene.open(1);
+    scene.open(2);
+    scene.receive(makePacket(caller(3), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Busy);
+    scene.fromUpstream(makePacket(packetService, caller(1), AcknowledgingFlag, 1001, 1, 500));
+    scene.receive(makePacket(caller(3), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+TEST(PacketAgent, DrainingUpstreamKeepsItsFlowsAndTakesNoNewOnes)
+{
+    PacketScene scene;
+    scene.open(1);
+    CHECK(scene.report(2, 2, {}, true));
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+    scene.receive(makePacket(caller(1), packetService, AcknowledgingFlag, 1, 1001, 10));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+TEST(PacketAgent, DrainingZoneTakesNoNewFlow)
+{
+    PacketScene scene(0x0A010002, std::string(packetRules) + "zone a drain # t\n");
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+}
+
+TEST(PacketAgent, SilentUpstreamTakesNoNewFlowUntilItReports)
+{
+    PacketScene scene;
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    scene.advance(200ms); // The opening was not answered.
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+    CHECK(scene.report(2));
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+/** The address of an upstream that ended may be another service's after two seconds. */
+TEST(PacketAgent, NothingIsOpenedAtAnAddressWithoutASignOfLife)
+{
+    PacketScene scene;
+    scene.advance(1950ms);
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+}
+
+TEST(PacketAgent, UpstreamOfAnotherServiceGetsNothing)
+{
+    PacketScene scene;
+    CHECK(scene.agent.onUpstreamReport(scene.now, { .id = "x", .service = "proofs", .started = 900'000, .sequence = 1, .slots = 2 }));
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+}
+
+TEST(PacketAgent, LateReportsAndThoseOfEarlierLifetimesAreDropped)
+{
+    PacketScene scene;
+    CHECK(scene.report(3));
+    CHECK_FALSE(scene.report(2, 2, {}, true));
+    CHECK(scene.report(1, 2, {}, false, "u2", 600'000));
+    CHECK_FALSE(scene.report(9, 2, {}, true, "u1", 500'000));
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+/** Two upstreams answered copies of one opening: the caller's first number decides. */
+TEST(PacketAgent, AFlowThatTheCallerOpenedElsewhereIsPassedOn)
+{
+    PacketScene scene;
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    scene.fromUpstream(makePacket(packetService, caller(1), OpeningFlag | AcknowledgingFlag, 1000, 1));
+    ForwardedPacket other = scene.forwarded(makePacket(caller(1), packetService, AcknowledgingFlag, 1, 500'001));
+    other.candidates = { { 0x0A010003, 7000 } };
+    scene.actions.clear();
+    scene.agent.onMessage(scene.now, other, scene.actions);
+    CHECK_EQUAL(0, scene.of<SendToUpstream>().size());
+    CHECK(scene.of<SendMessage>().front()->to == (Address { 0x0A010003, 7000 }));
+}
+
+TEST(PacketAgent, AfterARestartTheUpstreamIsAskedByTheFirstPacket)
+{
+    PacketScene scene;
+    const Bytes packet = makePacket(caller(9), packetService, AcknowledgingFlag, 1, 77, 20);
+    scene.receive(packet);
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+    scene.fromUpstream(makePacket(packetService, caller(9), AcknowledgingFlag, 77, 21, 50));
+    scene.receive(packet);
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+TEST(PacketAgent, AReturnedPacketOfAnUnknownFlowGoesOnWithoutItsMark)
+{
+    PacketScene scene;
+    Bytes packet = makePacket(caller(9), packetService, AcknowledgingFlag, 1, 77, 20);
+    scene.receive(packet);
+    packet[8] |= ReturnedFlag;
+    scene.fromUpstream(packet);
+    CHECK_EQUAL(0, scene.of<SendToCaller>().size());
+    scene.receive(makePacket(caller(9), packetService, AcknowledgingFlag, 1, 77, 20));
+    CHECK_EQUAL(0, scene.of<SendToUpstream>().size()); // It is known not to be here.
+}
+
+TEST(PacketAgent, AReturnedPacketOfAnOpenFlowResetsItWithTheCallersNumber)
+{
+    PacketScene scene;
+    scene.open(1);
+    Bytes packet = makePacket(caller(1), packetService, AcknowledgingFlag, 1, 1001, 20);
+    scene.receive(packet);
+    packet[8] |= ReturnedFlag;
+    scene.fromUpstream(packet);
+    const auto back = scene.of<SendToCaller>();
+    CHECK_EQUAL(1, back.size());
+    const Segment reset = *scene.codec.parse(back.front()->packet.payload);
+    CHECK(reset.isReset);
+    CHECK_EQUAL(1001, reset.sequence);
+    CHECK(reset.source == packetService);
+    CHECK(reset.destination == caller(1));
+}
+
+TEST(PacketAgent, AReturnedOpeningIsReported)
+{
+    PacketScene scene;
+    Bytes packet = makePacket(caller(1), packetService, OpeningFlag);
+    scene.receive(packet);
+    packet[8] |= ReturnedFlag;
+    scene.fromUpstream(packet);
+    CHECK(scene.outcome() == OpeningResult::Refused);
+    CHECK_EQUAL(0, scene.agent.flowCount());
+}
+
+TEST(PacketAgent, OpeningsBeforeTheRulesAreHeldAndThenPlaced)
+{
+    platform::PacketCodec codec;
+    SeededRandom random(1);
+    NullEventSink events;
+    PacketAgent agent({ .address = { 0x0A010002, 7000 }, .zone = "a", .service = "orders", .startedAt = 100s }, codec, random, events);
+    Actions actions;
+    const Bytes packet = makePacket(caller(1), packetService, OpeningFlag);
+    agent.onMessage(100s, ForwardedPacket { .packet = { .flow = { caller(1), packetService }, .mark = PacketMark::Opening, .payload = packet }, .service = hashText("orders"), .balancer = packetBalancer }, actions);
+    CHECK(std::holds_alternative<FetchSnapshot>(actions.front()));
+    actions.clear();
+    agent.onSnapshot(100s + 50ms, { .revision = 5, .rules = makePatch(0, "", packetRules) }, actions);
+    CHECK_EQUAL(1, actions.size());
+    CHECK(std::get<SendToUpstream>(actions.front()).packet == packet);
+}
+
+TEST(PacketAgent, BrokenBytesAreCountedAndDropped)
+{
+    PacketScene scene;
+    ForwardedPacket forwarded = scene.forwarded(makePacket(caller(1), packetService, OpeningFlag));
+    forwarded.packet.payload.resize(20);
+    scene.actions.clear();
+    scene.agent.onMessage(scene.now, forwarded, scene.actions);
+    CHECK(scene.actions.empty());
+    CHECK_EQUAL(1, scene.agent.counters().get(Counter::PayloadsMalformed));
+}
+
+TEST_GROUP(ColdGate) {};
+
+TEST(ColdGate, NoSlidingSecondHasMoreThanTheRate)
+{
+    ColdGate gate;
+    gate.setRate(10);
+    gate.onReport(0s, 5s);
+    std::vector<TimePoint> opened;
+    for (TimePoint now = 0s; now < 5s; now += 7ms) {
+        if (gate.mayOpen(now)) {
+            gate.noteOpening(now);
+            opened.push_back(now);
+        }
+    }
+    for (size_t first = 0; first + 10 < opened.size(); ++first) {
+        CHECK(opened[first + 10] - opened[first] > 1s);
+    }
+    CHECK(opened.size() >= 40);
+}
+
+TEST(ColdGate, CountsAsColdUntilAReportThatIsNewerThanTheDoubt)
+{
+    ColdGate gate;
+    gate.setRate(10);
+    gate.onReport(10s, 0s);
+    CHECK_FALSE(gate.isCold(10s));
+    gate.distrust(11s);
+    CHECK(gate.isCold(11s));
+    gate.onReport(11s + 50ms, 0s); // May have been on its way.
+    CHECK(gate.isCold(11s + 50ms));
+    gate.onReport(12s, 0s);
+    CHECK_FALSE(gate.isCold(12s));
+}
+
+TEST(ColdGate, ARestartedAgentWaitsOutTheSecondThatItDoesNotKnow)
+{
+    ColdGate gate;
+    gate.setRate(10);
+    gate.assumeUsedUp(1s);
+    CHECK_FALSE(gate.mayOpen(2s));
+    CHECK(gate.mayOpen(2s + 100ms));
+}
--- /dev/null
+++ b/tests/platform_test.py
@@ -0,0 +1,114 @@
+"""The whole path on the platform by stand-ins: flows, restarts, drains, rules and recovery, seen from callers and upstreams."""
+
+import re
+import signal
+import time
+import urllib.request
+from contextlib import contextmanager
+
+from fleet import wait_for
+from platform_standins import Platform
+
+START_SECONDS = 10  # Generous: a slow machine must not change the verdict.
+CONFIGURATION_SECONDS = 3  # The platform's bound for a configuration to be in force.
+
+
+@contextmanager
+def running(build, folder, **sizes):
+    platform = Platform(build, folder, **sizes)
+    try:
+        assert platform.served(START_SECONDS) is not None, "nothing was served"
+        yield platform
+    finally:
+        platform.stop()
+
+
+def test_flows_survive_the_restart_of_their_agent_and_of_a_balancer(build, folder):
+    with running(build, folder) as platform:
+        flows = [platform.caller.open(platform.route) for _ in range(8)]
+        stamps = [platform.caller.ask(flow) for flow in flows]
+        assert len(set(stamps)) == 2, stamps
+        for name in ("agent-0", "agent-1", "balancer-0"):
+            platform.kill(name)
+            platform.start(name)
+        assert platform.served(START_SECONDS) is not None
+        assert [platform.caller.ask(flow, 5) for flow in flows] == stamps
+        platform.kill("balancer-0", signal.SIGTERM)
+        assert [platform.caller.ask(flow, 5, balancer=1) for flow in flows] == stamps
+
+
+def test_a_crashed_upstream_resets_its_flows_and_no_others(build, folder):
+    with running(build, folder) as platform:
+        flows = [platform.caller.open(platform.route) for _ in range(8)]
+        stamps = [platform.caller.ask(flow) for flow in flows]
+        upstream = platform.upstreams["agent-0"]
+        upstream.crash()
+        upstream.start()
+        for flow, stamp in zip(flows, stamps):
+            assert platform.caller.ask(flow) == ("reset" if stamp == "u0-1" else stamp)
+
+
+def test_a_draining_upstream_gets_no_new_flow(build, folder):
+    with running(build, folder) as platform:
+        flow = next(flow for flow in (platform.caller.open(platform.route) for _ in range(50)) if platform.caller.ask(flow) == "u0-1")
+        upstream = platform.upstreams["agent-0"]
+        upstream.state = "draining"
+        assert upstream.heartbeat()
+        opened = len(upstream.opened)
+        for _ in range(20):
+            assert platform.caller.ask(platform.caller.open(platform.route)) == "u1-1"
+        assert len(upstream.opened) == opened
+        assert platform.caller.ask(flow) == "u0-1"
+
+
+def test_metrics_count_what_was_served(build, folder):
+    with running(build, folder, agents=1, balancers=1) as platform:
+        for _ in range(5):
+            assert platform.caller.ask(platform.caller.open(platform.route))
+        with urllib.request.urlopen(f"http://127.2.0.1:{platform.metrics}/metrics", timeout=5) as answer:
+            text = answer.read().decode()
+        assert int(re.search(r"^lavender_flows_opened_total (\d+)$", text, re.M)[1]) >= 6
+        assert int(re.search(r"^lavender_answer_seconds_count (\d+)$", text, re.M)[1]) >= 6
+
+
+def test_routes_come_and_go_and_a_zone_is_emptied(build, folder):
+    with running(build, folder) as platform:
+        added = ("198.18.0.1", 8443)
+        time.sleep(2)  # A balancer that has just begun to serve refuses nothing.
+        assert platform.caller.open(added) == "reset"
+        platform.configure(2, [443, 8443])
+        wait_for(lambda: isinstance(platform.caller.open(added), dict), CONFIGURATION_SECONDS)
+        flow = platform.caller.open(platform.route)
+        assert platform.caller.ask(flow)
+        platform.store.put("op/evacuate/a", "{}")
+        wait_for(lambda: platform.caller.open(platform.route) == "reset", CONFIGURATION_SECONDS)
+        assert platform.caller.ask(flow), "a flow in the zone was cut"
+        platform.store.remove("op/evacuate/a")
+        wait_for(lambda: isinstance(platform.caller.open(platform.route), dict), CONFIGURATION_SECONDS)
+        platform.configure(3, [443])
+        wait_for(lambda: platform.caller.open(added) == "reset", CONFIGURATION_SECONDS)
+
+
+def test_rules_stay_in_force_while_the_store_is_down(build, folder):
+    with running(build, folder) as platform:
+        platform.store.down = True
+        for name in ("agent-0", "balancer-0"):
+            platform.kill(name)
+            platform.start(name)
+        assert platform.served(START_SECONDS, balancer=1) is not None
+        assert platform.served(START_SECONDS, balancer=0) is not None  # Rules come from the other balancer.
+
+
+def test_all_processes_killed_at_once_serve_again_within_a_second(build, folder):
+    with running(build, folder, agents=6, balancers=3) as platform:
+        flow = platform.caller.open(platform.route)
+        stamp = platform.caller.ask(flow)
+        for name in platform.processes:
+            platform.processes[name].kill()
+        for name in list(platform.processes):
+            platform.processes[name].wait()
+            platform.start(name)
+        seconds = platform.served(START_SECONDS)
+        print(f"served again after {seconds:.2f} s")
+        assert seconds is not None and seconds <= 1
+        assert platform.caller.ask(flow, 5) == stamp
--- a/tests/program_test.py
+++ b/tests/program_test.py
@@ -79,7 +79,7 @@
     bad = run(ctl, "check", "-", input="service orders at 10.0.0.1:80\n")
     assert bad.returncode == 1 and bad.stderr.startswith("-:1:30: no comment"), bad.stderr
     faults = json.loads(run(ctl, "check", "-", "--json", input="zone a away # x\n").stdout)["faults"]
-    assert faults == [{"line": 1, "column": 8, "text": '"away": expected "in" or "out"'}], faults
+    assert faults == [{"line": 1, "column": 8, "text": '"away": expected "in", "out" or "drain"'}], faults
 
 
 def test_ctl_command_line(build, folder):
--- /dev/null
+++ b/tools/lib/platform_standins.py
@@ -0,0 +1,314 @@
+"""Stand-ins for the platform: its store, upstreams, callers, and settings from the templates in deploy/."""
+
+import base64
+import json
+import re
+import signal
+import socket
+import struct
+import subprocess
+import threading
+import time
+import urllib.request
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlparse
+
+from fleet import free_ports
+
+ROOT = Path(__file__).resolve().parents[2]
+HEAD = struct.Struct(">IIBIIHHIHI")  # seq, ack, flags, sum, dst, dport, sport, src, len, echo
+SYN, FIN, RST, BOUNCED, ACK = 1, 4, 8, 16, 64
+COPY_SECONDS = (0, 0.2, 0.6)  # When a caller sends its opening packet and the copies.
+GIVE_UP_SECONDS = 1.4
+HEARTBEAT_SECONDS = 0.25
+METRICS_PORT = 9464  # As in deploy/; tests take a free one.
+
+
+def number(host):
+    return struct.unpack(">I", socket.inet_aton(host))[0]
+
+
+def pack(source, destination, flags, seq=0, ack=0, data=b""):
+    return HEAD.pack(seq, ack, flags, 0, number(destination[0]), destination[1], source[1], number(source[0]), len(data), 0) + data
+
+
+def unpack(packet):
+    seq, ack, flags, _, dst, dport, sport, src, length, _ = HEAD.unpack(packet[: HEAD.size])
+    host = lambda value: socket.inet_ntoa(struct.pack(">I", value))
+    return {"seq": seq, "ack": ack, "flags": flags, "to": (host(dst), dport), "from": (host(src), sport), "data": packet[HEAD.size : HEAD.size + length]}
+
+
+class Store:
+    """The metadata store: revisions, leases and waiting reads. `down` makes it answer 503."""
+
+    def __init__(self, host, port):
+        self.items, self.leases, self.revision, self.down = {}, {}, 10, False
+        self.changed = threading.Condition()
+        self.events = []
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *arguments):
+                pass
+
+            def answer(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+                url = urlparse(self.path)
+                query = {name: values[0] for name, values in parse_qs(url.query).items()}
+                code, reply = (503, {}) if store.down else store.call(self.command, url.path, query, json.loads(body or "{}"))
+                text = json.dumps(reply).encode()
+                self.send_response(code)
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                try:
+                    self.wfile.write(text)
+                except BrokenPipeError:
+                    pass  # The caller was stopped.
+
+            do_GET = do_POST = do_DELETE = answer
+
+        self.server = ThreadingHTTPServer((host, port), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, key, value, lease=0):
+        with self.changed:
+            self.revision += 1
+            item = {"key": key, "value": base64.b64encode(value.encode()).decode(), "revision": self.revision, "created": self.revision, "lease": lease}
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            if self.items.pop(key, None):
+                self.revision += 1
+                self.events.append({"key": key, "revision": self.revision, "removed": True})
+                self.changed.notify_all()
+
+    def call(self, method, path, query, body):
+        if path == "/kv-range":
+            with self.changed:
+                found = sorted((item for key, item in self.items.items() if key.startswith(query["prefix"])), key=lambda item: item["key"])
+                return 200, {"items": found, "hasMore": False, "asOf": self.revision}
+        if path == "/kv-watch":
+            after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
+            with self.changed:
+                while True:
+                    found = [event for event in self.events if event["revision"] > after and event["key"].startswith(query["prefix"])]
+                    if found or time.monotonic() >= end or self.down:
+                        return 200, {"events": found, "asOf": self.revision}
+                    self.changed.wait(0.1)
+        if path == "/kv-lease":
+            self.leases[len(self.leases) + 1] = []
+            return 200, {"lease": len(self.leases), "ttlMs": body["ttlMs"]}
+        if path.startswith("/kv-keep/"):
+            return 200, {"ttlMs": 1000}
+        if path.startswith("/kv-lease-end/"):
+            for key in self.leases.get(int(path.rsplit("/", 1)[1]), []):
+                self.remove(key)
+            return 200, {}
+        if path == "/kv-txn":
+            for write in body["writes"]:
+                self.put(write["key"], base64.b64decode(write["value"]).decode(), write["lease"])
+                self.leases.setdefault(write["lease"], []).append(write["key"])
+            return 200, {"revision": self.revision}
+        return 404, {}
+
+
+class Upstream:
+    """Answers flows behind its agent; `crash` and `start` make a new lifetime at the same address."""
+
+    def __init__(self, settings, service, name):
+        self.app, self.outbound, self.control = (tuple((part.split(":")[0], int(part.split(":")[1]))) for part in (settings["app"], settings["listen"]["outbound"], settings["listen"]["control"]))
+        self.service, self.name, self.lifetime, self.state, self.is_up = service, name, 0, "ready", False
+        self.opened = []  # When a flow was opened, by the steady clock.
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(self.app)
+        threading.Thread(target=self.serve, daemon=True).start()
+        threading.Thread(target=self.report, daemon=True).start()
+        self.start()
+
+    def start(self):
+        self.flows, self.lifetime, self.count, self.state = {}, self.lifetime + 1, 0, "ready"
+        self.born = int(time.time() * 1000)
+        self.is_up = True
+
+    def crash(self):
+        self.is_up = False
+
+    def heartbeat(self):
+        """Sends one heartbeat. Returns whether it was acknowledged."""
+        self.count += 1
+        body = {"service": self.service, "address": "%s:%d" % self.app, "zone": "a", "version": "v1", "slots": 4, "state": self.state, "coldLeftMs": 0, "seq": self.count, "born": self.born}
+        request = urllib.request.Request("http://%s:%d/Endpoints.Heartbeat/%s-%d" % (*self.control, self.name, self.lifetime), json.dumps(body).encode(), method="POST")
+        try:
+            with urllib.request.urlopen(request, timeout=1) as answer:
+                return answer.status == 200
+        except OSError:
+            return False
+
+    def report(self):
+        while True:
+            if self.is_up:
+                self.heartbeat()
+            time.sleep(HEARTBEAT_SECONDS)
+
+    def serve(self):
+        while True:
+            packet = self.socket.recv(2048)
+            if not self.is_up:
+                continue
+            head = unpack(packet)
+            flow = (head["from"], head["to"])
+            if head["flags"] & SYN:
+                if flow not in self.flows:
+                    self.flows[flow] = 1000 * self.lifetime + len(self.flows)
+                    self.opened.append(time.monotonic())
+                self.send(flow, SYN | ACK, self.flows[flow], 1)
+            elif flow not in self.flows:
+                bounced = bytearray(packet)
+                bounced[8] |= BOUNCED
+                self.socket.sendto(bytes(bounced), self.outbound)
+            elif head["data"]:
+                self.send(flow, ACK, self.flows[flow] + 1, head["seq"] + len(head["data"]), f"{self.name}-{self.lifetime}".encode())
+
+    def send(self, flow, flags, seq, ack, data=b""):
+        self.socket.sendto(pack(flow[1], flow[0], flags, seq, ack, data), self.outbound)
+
+
+class Caller:
+    """Opens flows through one balancer after the other and sends requests in them."""
+
+    def __init__(self, host, port, balancers):
+        self.host, self.balancers, self.next_port = host, balancers, 40000
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((host, port))
+
+    def send(self, flow, packet, balancer=0):
+        self.socket.sendto(packet, self.balancers[balancer % len(self.balancers)])
+
+    def receive(self, flow, until):
+        while (left := until - time.monotonic()) > 0:
+            self.socket.settimeout(left)
+            try:
+                head = unpack(self.socket.recv(2048))
+            except TimeoutError:
+                break
+            if head["to"] == flow["from"]:
+                return head
+        return None
+
+    def open(self, route, balancer=0):
+        """Returns the open flow, "reset", or None where nothing was heard."""
+        self.next_port += 1
+        flow = {"from": (self.host, self.next_port), "to": route}
+        begun = time.monotonic()
+        for copy, delay in enumerate(COPY_SECONDS):
+            self.send(flow, pack(flow["from"], route, SYN, 0, copy), balancer)
+            end = begun + (COPY_SECONDS[copy + 1] if copy + 1 < len(COPY_SECONDS) else GIVE_UP_SECONDS)
+            head = self.receive(flow, end)
+            if head is not None and head["flags"] & RST:
+                return "reset"
+            if head is not None:
+                flow["ack"], flow["seq"] = head["seq"] + 1, 1
+                return flow
+        return None
+
+    def ask(self, flow, seconds=2.0, balancer=0):
+        """Sends a request in an open flow. Returns the upstream's stamp, "reset" or None."""
+        end, wait = time.monotonic() + seconds, 0.2
+        while time.monotonic() < end:
+            self.send(flow, pack(flow["from"], flow["to"], ACK, flow["seq"], flow["ack"], b"request"), balancer)
+            head = self.receive(flow, min(end, time.monotonic() + wait))
+            while head is not None and not head["flags"] & RST and not head["data"]:
+                head = self.receive(flow, min(end, time.monotonic() + wait))
+            if head is not None:
+                if head["flags"] & RST:
+                    return "reset"
+                flow["seq"] += len(b"request")
+                flow["ack"] = head["seq"] + len(head["data"])
+                return head["data"].decode()
+            wait = min(wait * 2, 1.6)
+        return None
+
+
+def render(template, fields):
+    """The part of the platform's template language that deploy/ uses."""
+
+    def value(path, scope):
+        for part in path.split("."):
+            scope = scope[int(part)] if isinstance(scope, list) else scope[part]
+        return scope
+
+    def section(match):
+        entries = value(match[1], fields)
+        return "".join(match[2].replace("{{.|json}}", json.dumps(entry)).replace("{{,}}", "," if index + 1 < len(entries) else "") for index, entry in enumerate(entries))
+
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    text = re.sub(r"\{\{([\w.]+)\|json\}\}", lambda match: json.dumps(value(match[1], fields)), text)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: str(value(match[1], fields)), text)
+
+
+class Platform:
+    """Balancers, agents with upstreams, a store and a caller, each on a loopback address of its own."""
+
+    def __init__(self, build, folder, agents=2, balancers=2):
+        self.build, self.folder, self.processes = build, Path(folder), {}
+        self.fabric, self.ready, self.control, self.outbound, self.app, self.internal, self.metrics, store = free_ports(8)
+        self.store = Store("127.0.0.1", store)
+        self.route = ("198.18.0.1", 443)
+        self.store_address = f"127.0.0.1:{store}"
+        self.configure(1, [443])
+        self.fields = {}
+        for index in range(balancers):
+            self.fields[f"balancer-{index}"] = self.settings(f"127.1.0.{index + 1}", "a")
+        self.upstreams = {}
+        for index in range(agents):
+            fields = self.settings(f"127.2.0.{index + 1}", "a")
+            fields.update(service="orders", app=f"127.2.0.{index + 1}:{self.app}")
+            self.fields[f"agent-{index}"] = fields
+            self.upstreams[f"agent-{index}"] = Upstream(fields, "orders", f"u{index}")
+        for name in self.fields:
+            self.start(name)
+        self.caller = Caller("127.9.0.1", self.fabric, [(f"127.1.0.{index + 1}", self.fabric) for index in range(balancers)])
+
+    def settings(self, host, zone):
+        listen = {"datagramAddr": f"{host}:{self.fabric}", "ready": f"{host}:{self.ready}", "control": f"{host}:{self.control}", "outbound": f"{host}:{self.outbound}"}
+        return {"ip": host, "zone": zone, "listen": listen, "internalPorts": [self.internal, self.internal], "seeds": [f"127.1.0.1:{self.control}"], "heartbeatMs": int(HEARTBEAT_SECONDS * 1000), "platform": {"address": self.store_address}}
+
+    def configure(self, version, ports, zones_out=()):
+        routes = [{"name": f"r{port}", "host": "198.18.0.1", "prefix": f"/{port}/", "service": "orders", "kind": "safe"} for port in ports]
+        services = [{"name": "orders", "healthPath": "/health", "maxConns": 100, "coldStartS": 1.0, "coldPerS": 0.0}]
+        self.store.put("op/config", json.dumps({"version": version, "routes": routes, "services": services, "limits": {"idleTimeoutMs": 15000}}))
+
+    def start(self, name):
+        program, template = ("lavender-balancer", "balancer") if name.startswith("balancer") else ("lavender-agent", "agent")
+        path = self.folder / f"{name}.json"
+        text = render((ROOT / "deploy" / f"{template}.json").read_text(), self.fields[name])
+        path.write_text(text.replace(f":{METRICS_PORT}\"", f":{self.metrics}\""))
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen([str(self.build / "src" / program), "--config", str(path)], stdout=log, stderr=log)
+
+    def kill(self, name, number=signal.SIGKILL):
+        self.processes[name].send_signal(number)
+        self.processes[name].wait(10)
+
+    def served(self, seconds, balancer=0):
+        """Seconds until a request in a new flow was answered, or None."""
+        begun = time.monotonic()
+        while time.monotonic() - begun < seconds:
+            flow = self.caller.open(self.route, balancer)
+            if isinstance(flow, dict) and self.caller.ask(flow, 0.5, balancer) not in (None, "reset"):
+                return time.monotonic() - begun
+        return None
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        self.store.server.shutdown()
