Packet agent: a flow is lost only when it was denied twice, with a balancer's news between

Ruled out: a first acknowledgement that fits two upstreams (one in 65,536 of 2^32), a returned packet of an open flow (none logged). Change: after the first round a balancer is asked for news; 300 ms later, with its agreement, all agents known then are asked again. A test plays it: a peer that is learned between the rounds keeps its flow; it failed before.

--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -75,8 +75,9 @@
         this->announce(now, reply.balancer, this->revision, actions);
         return;
     }
-    if (reply.peers.empty() && !this->agreedSince) {
-        this->agreedSince = now;
+    if (reply.peers.empty()) {
+        this->agreedSince = this->agreedSince.value_or(now);
+        this->lastAgreed = now;
     }
 }
 
--- a/src/agent/peer_base.h
+++ b/src/agent/peer_base.h
@@ -53,6 +53,10 @@
     std::vector<MemberRecord> everyone() const;
     /** When a balancer first agreed that nothing is missing here; none where that has not come yet. */
     std::optional<TimePoint> synchronizedSince() const { return this->agreedSince; }
+    /** When a balancer last agreed so. */
+    TimePoint agreedAt() const { return this->lastAgreed; }
+    /** Announces at the next tick, and so asks whether anything is missing here. */
+    void askForNews() { this->isUrgent = true; }
     /** True where at least as many agents of the service were lost within @p age as are left: a cut network looks like that. */
     bool isMinority(TimePoint now, Duration age) const;
     /** True where an agent of the service was lost within @p age without a goodbye. */
@@ -77,6 +81,7 @@
     std::map<Address, PeerLoad> loads;
     bool isUrgent = true; ///< Announce at the next tick.
     std::optional<TimePoint> agreedSince;
+    TimePoint lastAgreed {};
     Address nextLoadPeer;
     Revision revision = 0;
 };
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -327,11 +327,21 @@
 {
     const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
     this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
+    std::vector<FlowKey> answered;
     for (auto& [flow, search] : this->searches) {
-        if (now - search.asked >= searchPeriod) {
+        const bool isRoundDue = search.firstRoundEnd && !search.isSecondRound && now - *search.firstRoundEnd >= searchPeriod;
+        if (isRoundDue && this->peers.agreedAt() > *search.firstRoundEnd) {
+            this->beginSecondRound(now, flow, search, actions);
+        } else if (now - search.asked >= searchPeriod) {
             search.asked = now;
             this->askPeers(flow, search, actions);
         }
+        if (search.isSecondRound && search.waiting.empty()) {
+            answered.push_back(flow);
+        }
+    }
+    for (const FlowKey& flow : answered) {
+        this->concludeSearch(now, flow, actions);
     }
     const size_t before = this->searches.size();
     std::erase_if(this->searches, [now](const auto& entry) { return now - entry.second.begun >= searchAge; });
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -78,6 +78,8 @@
         std::set<Address> probed; ///< Agents whose upstream was asked by a packet.
         TimePoint begun {};
         TimePoint asked {};
+        std::optional<TimePoint> firstRoundEnd; ///< When everyone known then had said no.
+        bool isSecondRound = false; ///< Asks everyone again, those too that were heard of since.
     };
 
     /** An opening packet that came before the rules. */
@@ -131,6 +133,8 @@
     bool forwardToNext(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
     void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
+    void endRound(TimePoint now, const FlowKey& flow, Actions& actions);
+    void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
     void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
     bool mayDeclareLost(TimePoint now) const;
     bool isUnsureOf(TimePoint now, const FlowKey& flow) const;
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -303,11 +303,8 @@
         search.waiting.insert(peer.address);
     }
     this->events.note(EventLevel::Debug, "flow-searched", { { "flow", formatFlow(key) }, { "hops", std::to_string(forwarded.hops) }, { "peers", std::to_string(this->peers.others().size()) } });
-    if (search.waiting.empty()) {
-        this->concludeSearch(now, FlowKey(key), actions);
-    } else {
-        this->askPeers(key, search, actions);
-    }
+    this->askPeers(key, search, actions);
+    this->endRound(now, FlowKey(key), actions);
 }
 
 void PacketAgent::askPeers(const FlowKey& flow, const Search& search, Actions& actions)
@@ -355,9 +352,7 @@
     }
     if (!reply.owner.isValid()) {
         search.waiting.erase(reply.responder);
-        if (search.waiting.empty()) {
-            this->concludeSearch(now, reply.flow, actions);
-        }
+        this->endRound(now, reply.flow, actions);
         return;
     }
     ForwardedPacket forwarded = std::move(search.packet);
@@ -366,6 +361,32 @@
     this->forward(forwarded, reply.owner, actions);
 }
 
+/** An agent that has just joined may hold the flow and not be known here: a balancer is asked for news before the second round. */
+void PacketAgent::endRound(TimePoint now, const FlowKey& flow, Actions& actions)
+{
+    Search& search = this->searches[flow];
+    if (!search.waiting.empty()) {
+        return;
+    }
+    if (search.isSecondRound) {
+        this->concludeSearch(now, flow, actions);
+    } else if (!search.firstRoundEnd) {
+        search.firstRoundEnd = now;
+        this->peers.askForNews();
+    }
+}
+
+void PacketAgent::beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions)
+{
+    search.isSecondRound = true;
+    search.asked = now;
+    search.probed.clear();
+    for (const MemberRecord& peer : this->peers.others()) {
+        search.waiting.insert(peer.address);
+    }
+    this->askPeers(flow, search, actions);
+}
+
 /** Only an agent that knows all others may end a flow, and only while none of them is out of reach. */
 bool PacketAgent::mayDeclareLost(TimePoint now) const
 {
--- a/tests/packet_agent_test.cpp
+++ b/tests/packet_agent_test.cpp
@@ -213,6 +213,85 @@
     CHECK(std::get<SendToUpstream>(actions.front()).packet == packet);
 }
 
+namespace {
+
+/** Gives a scene a peer as a balancer's reply does. */
+void meet(PacketScene& scene, std::vector<MemberRecord> peers)
+{
+    scene.agent.onMessage(scene.now, AnnounceReply { .balancer = packetBalancer, .revision = 5, .peers = std::move(peers) }, scene.actions);
+}
+
+MemberRecord peerRecord(uint32_t host)
+{
+    return { .address = { host, 7000 }, .role = MemberRole::Agent, .zone = "a", .service = "orders", .incarnation = 1, .version = 1, .state = MemberState::Ready, .slots = 2, .weight = 200 };
+}
+
+/** Lets the searched flow's packet come back from the own upstream, and the known peers say no. */
+void sayNo(PacketScene& scene, const FlowKey& flow, std::initializer_list<uint32_t> hosts)
+{
+    for (uint32_t host : hosts) {
+        scene.agent.onMessage(scene.now, FlowQueryReply { flow, { host, 7000 }, {} }, scene.actions);
+    }
+}
+
+void searchFor(PacketScene& scene, uint16_t port)
+{
+    Bytes packet = makePacket(caller(port), packetService, AcknowledgingFlag, 1, 77, 20);
+    scene.receive(packet);
+    Bytes returned = packet;
+    returned[8] |= ReturnedFlag;
+    scene.fromUpstream(returned);
+    ForwardedPacket forwarded = scene.forwarded(packet);
+    forwarded.candidates = { { 3, 7000 } };
+    forwarded.visited = 1; // Agent 3 has passed it on.
+    scene.actions.clear();
+    scene.agent.onMessage(scene.now, forwarded, scene.actions);
+    CHECK_EQUAL(1, scene.agent.counters().get(Counter::Searches));
+}
+
+} // namespace
+
+/** Seen on a hunted day: a flow at an agent that had just joined was reset by one that did not know it. */
+TEST(PacketAgent, AFlowIsNotLostWhileAnAgentThatJustJoinedMayHoldIt)
+{
+    PacketScene scene;
+    meet(scene, { peerRecord(3) });
+    meet(scene, {});
+    scene.advance(3s);
+    CHECK(scene.report(2));
+    const FlowKey flow { caller(9), packetService };
+    searchFor(scene, 9);
+    sayNo(scene, flow, { 3 });
+    CHECK_EQUAL(0, scene.of<SendToCaller>().size());
+    meet(scene, { peerRecord(4) }); // The news that were asked for.
+    scene.advance(100ms);
+    meet(scene, {});
+    scene.actions.clear();
+    scene.advance(300ms);
+    sayNo(scene, flow, { 3 });
+    CHECK_EQUAL(0, scene.of<SendToCaller>().size());
+    scene.agent.onMessage(scene.now, FlowQueryReply { flow, { 4, 7000 }, { 4, 7000 } }, scene.actions);
+    CHECK(scene.of<SendMessage>().back()->to == (Address { 4, 7000 }));
+    CHECK_EQUAL(0, scene.of<SendToCaller>().size());
+}
+
+TEST(PacketAgent, AFlowThatEveryAgentDeniesTwiceIsReset)
+{
+    PacketScene scene;
+    meet(scene, { peerRecord(3) });
+    meet(scene, {});
+    scene.advance(3s);
+    CHECK(scene.report(2));
+    const FlowKey flow { caller(9), packetService };
+    searchFor(scene, 9);
+    sayNo(scene, flow, { 3 });
+    scene.advance(100ms);
+    meet(scene, {});
+    scene.advance(300ms);
+    sayNo(scene, flow, { 3 });
+    CHECK_EQUAL(1, scene.of<SendToCaller>().size());
+}
+
 TEST(PacketAgent, BrokenBytesAreCountedAndDropped)
 {
     PacketScene scene;
