--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -18,7 +18,7 @@
     constexpr Duration holdTime = 400ms; ///< The time between a caller's first and last copies.
     constexpr Duration firstFetchPeriod = 100ms;
     constexpr Duration acquaintanceTime = 2s; ///< With a balancer in agreement for so long, an agent knows all others.
-    constexpr Duration lossMemory = 60s; ///< A member lost that lately may be cut off, and hold the flow.
+    constexpr Duration lossMemory = 5s; ///< A member declared gone that lately may be back with the flow; later its callers have given it up.
 
 } // namespace
 
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -10,8 +10,9 @@
 namespace {
 
     constexpr Duration retryFloor = 250ms;
-    constexpr Duration retryCeiling = 1500ms; ///< A store that returns is heard of in less than 2 s; 1,800 nodes make 2,000 calls a second then.
-    constexpr int maximumDoublings = 3;
+    constexpr Duration retryCeiling = 1500ms; ///< A store that returns is heard of in less than 2 s.
+    constexpr Duration retryCeilingPerBalancer = 4ms; ///< 1,800 balancers with two calls each stay under 1,000 calls a second.
+    constexpr int maximumDoublings = 8;
     constexpr Duration historyLostDelay = 100ms; ///< Spreads the reads of all watchers whose history was dropped at once.
     constexpr Duration emptyReadPeriod = 5s; ///< About the time between two reads while the store has no rules.
     constexpr Duration seedPeriod = 60s;
@@ -19,9 +20,10 @@
 
 } // namespace
 
-Duration storeBackoff(Random& random, int failures)
+Duration storeBackoff(Random& random, int failures, size_t balancers)
 {
-    const Duration span = std::min<Duration>(retryFloor * (1 << std::min(failures, maximumDoublings)), retryCeiling);
+    const Duration ceiling = std::max<Duration>(retryCeiling, retryCeilingPerBalancer * balancers);
+    const Duration span = std::min<Duration>(retryFloor * (1 << std::min(failures, maximumDoublings)), ceiling);
     return retryFloor + random.jitter(span);
 }
 
@@ -84,6 +86,11 @@
 {
 }
 
+Duration StoreFollower::backoff(int failures)
+{
+    return storeBackoff(this->random, failures, this->listener.balancerCount());
+}
+
 void StoreFollower::noteState(bool isUpNow)
 {
     if (isUpNow != this->isUp) {
@@ -139,7 +146,7 @@
             this->takeValue(**value);
         }
         const Duration period = this->nextRead();
-        this->readDue = this->clock.now() + (value.ok() ? period / 2 + this->random.jitter(period) : storeBackoff(this->random, this->readFailures));
+        this->readDue = this->clock.now() + (value.ok() ? period / 2 + this->random.jitter(period) : this->backoff(this->readFailures));
     });
 }
 
@@ -150,7 +157,7 @@
     this->store.grantLease(seconds, [this](const absl::StatusOr<uint64_t>& granted) {
         if (!granted.ok() || this->isStopped) {
             this->isLeasing = false;
-            this->leaseDue = this->clock.now() + storeBackoff(this->random, ++this->leaseFailures);
+            this->leaseDue = this->clock.now() + this->backoff(++this->leaseFailures);
             return;
         }
         this->lease = *granted;
@@ -165,7 +172,7 @@
         this->isLeasing = false;
         if (!written.ok()) {
             this->lease = 0; // The key may stand or not; a new lease writes it again.
-            this->leaseDue = this->clock.now() + storeBackoff(this->random, ++this->leaseFailures);
+            this->leaseDue = this->clock.now() + this->backoff(++this->leaseFailures);
             return;
         }
         this->leaseFailures = 0;
@@ -185,7 +192,7 @@
             return;
         }
         this->leaseFailures = renewed.ok() ? 0 : this->leaseFailures + 1;
-        this->leaseDue = this->clock.now() + (renewed.ok() ? this->settings.leaseTime / 3 : storeBackoff(this->random, this->leaseFailures));
+        this->leaseDue = this->clock.now() + (renewed.ok() ? this->settings.leaseTime / 3 : this->backoff(this->leaseFailures));
     });
 }
 
@@ -196,7 +203,7 @@
         rulesKey, [this](const StoreValue& value) { this->takeValue(value); }, [this](const absl::Status& status) {
             this->isWatching = false;
             const bool isHistoryLost = absl::IsOutOfRange(status);
-            this->watchDue = this->clock.now() + (isHistoryLost ? this->random.jitter(historyLostDelay) : storeBackoff(this->random, ++this->watchFailures)); });
+            this->watchDue = this->clock.now() + (isHistoryLost ? this->random.jitter(historyLostDelay) : this->backoff(++this->watchFailures)); });
     // What was written before the watch stood is not seen by it.
     this->store.read(rulesKey, [this](const absl::StatusOr<std::optional<StoreValue>>& value) {
         if (value.ok()) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -16,8 +16,8 @@
 
 namespace lavender {
 
-/** Time before the next try of a failed store call: doubles up to 20 s, with full jitter, so that a store that returns is not overrun. */
-Duration storeBackoff(Random& random, int failures);
+/** Time before the next try of a failed store call: doubles up to 1.5 s, in a large fleet to more, with full jitter, so that a store that returns is not overrun. */
+Duration storeBackoff(Random& random, int failures, size_t balancers = 1);
 
 constexpr Duration seedHeadStart = 20ms; ///< For the seeds of the settings, before the store is asked for others.
 
@@ -95,6 +95,7 @@
     void renewLease();
     void openWatch();
     Duration nextRead() const;
+    Duration backoff(int failures);
     void takeValue(const StoreValue& value);
     void noteState(bool isUp);
 
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -155,7 +155,7 @@
 /** State of a process. */
 struct StatusReply {
     uint64_t nonce = 0;
-    std::string json; ///< An object; docs/OPERATING.md names its members.
+    std::string json; ///< An object; docs/OPERATIONS.md names its members.
     bool operator==(const StatusReply&) const = default;
 };
 
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -18,13 +18,14 @@
     void onLeaseLapsed() override { ++this->lapses; }
     bool isWatcher() const override { return this->isWatching; }
     bool hasRules() const override { return this->latest > 0; }
-    size_t balancerCount() const override { return 1; }
+    size_t balancerCount() const override { return this->balancers; }
 
     Revision latest = 0;
     int ups = 0;
     int downs = 0;
     int lapses = 0;
     bool isWatching = false;
+    size_t balancers = 1;
 };
 
 /** A follower that ticks 20 times a second. */
@@ -157,3 +158,40 @@
     // 1,800 balancers may make 1,200 calls a second, so each 40 in the first minute.
     CHECK_TRUE(desk.store.reads + desk.store.writes - calls <= 40);
 }
+
+TEST(Follower, ALargeFleetBacksOffFurther)
+{
+    SeededRandom random(1);
+    Duration small {};
+    Duration large {};
+    for (int draw = 0; draw < 1000; ++draw) {
+        small = std::max(small, storeBackoff(random, 10));
+        large += storeBackoff(random, 10, 1800) / 1000;
+    }
+    CHECK(small <= 1750ms); // Heard again within two seconds.
+    CHECK(large >= 3600ms); // 1,800 balancers, two calls each: under 1,000 calls a second.
+}
+
+/** A fleet shares its reads: each balancer reads as much less often as there are others. */
+TEST(Follower, ReadsAreSharedByTheFleet)
+{
+    const auto readsOf = [](size_t balancers) {
+        EventQueue queue;
+        FakeStore store { queue };
+        SeededRandom random { 1 };
+        Listener listener;
+        listener.balancers = balancers;
+        listener.latest = 1; // It has rules.
+        StoreFollower follower { store, queue, random, { { 0x7f000001, 1 }, "a", 3600s, 300s, 500ms }, listener };
+        const uint64_t before = store.reads;
+        for (int tick = 0; tick < 1200; ++tick) {
+            queue.runUntil(queue.now() + 50ms);
+            follower.tick();
+        }
+        return store.reads - before;
+    };
+    const uint64_t alone = readsOf(1);
+    const uint64_t ofSix = readsOf(6);
+    CHECK(alone >= 90 && alone <= 150); // One each half second for a minute.
+    CHECK(ofSix >= 14 && ofSix <= 30);
+}
--- a/tests/rule_test.cpp
+++ b/tests/rule_test.cpp
@@ -68,6 +68,30 @@
     CHECK_TRUE(testCommand(rules, { .kind = RuleCommandKind::ZoneOut, .zone = "z", .who = "a" }).ok());
 }
 
+TEST(Rule, RoutesColdUpstreamsAndDrainingZones)
+{
+    const ParsedRules parsed = parseRules("service orders connections 10 cold 7 warmup 2000 # p\nroute 10.0.0.1:80 to orders # p\nroute 10.0.0.1:81 to orders # p\nannounce orders in * # p\nzone a drain # p\n");
+    STRCMP_EQUAL("", formatFaults("f", parsed.faults).c_str());
+    const Configuration& configuration = parsed.configuration;
+    const ServiceRule* service = configuration.findService("orders");
+    CHECK_EQUAL(7, service->coldOpeningsPerSecond.value());
+    CHECK(service->warmUp.value() == 2s);
+    CHECK_EQUAL(2, configuration.serviceByAddress.size());
+    CHECK(configuration.mayAnnounce("orders", "any-zone"));
+    CHECK_FALSE(configuration.mayAnnounce("proofs", "any-zone"));
+    CHECK(configuration.isZoneDraining("a"));
+    CHECK_FALSE(configuration.isZoneOut("a"));
+}
+
+TEST(Rule, FaultyRoutesAreReported)
+{
+    const ParsedRules parsed = parseRules("service orders at 10.0.0.1:80 # p\nroute 10.0.0.1:80 to orders # p\nroute 10.0.0.1:81 to proofs # p\nroute 10.0.0.1 to orders # p\n");
+    STRCMP_EQUAL("f:2:7: address 10.0.0.1:80 belongs to another service: expected a free one\n"
+                 "f:3:22: \"proofs\": expected the name of a service that stands above\n"
+                 "f:4:7: \"10.0.0.1\": expected an address A.B.C.D:PORT with port 1..65535\n",
+        formatFaults("f", parsed.faults).c_str());
+}
+
 TEST(Rule, PatchMakesTheNewTextOrDoesNotFit)
 {
     CHECK_TRUE(rc::check("patch", [](const std::string& front, const std::string& before, const std::string& after, const std::string& end) {
--- a/tests/steering_test.cpp
+++ b/tests/steering_test.cpp
@@ -120,3 +120,60 @@
     ForwardedPacket forwarded { .packet = openingPacket(testFlow()) };
     CHECK_FALSE(view.steering.route(0s, view.configuration.services[0], forwarded));
 }
+
+TEST_GROUP(PacketSteering) {};
+
+namespace {
+
+/** Six agents, two in each of three zones. */
+std::vector<MemberRecord> zonedAgents()
+{
+    std::vector<MemberRecord> records;
+    for (uint16_t index = 0; index < 6; ++index) {
+        records.push_back(agentRecord(index));
+        records.back().zone = std::string(1, static_cast<char>('a' + index / 2));
+    }
+    return records;
+}
+
+const std::string zonedRules = "service orders at 10.0.0.1:80 # t\nannounce orders in * # t\n";
+
+} // namespace
+
+/** Pattern: a cut between zones. What stays in the callers' zone is not touched by it. */
+TEST(PacketSteering, AgentsOfTheOwnZoneComeFirstAndAllEligibleOnesFollow)
+{
+    const Configuration configuration = parseRules(zonedRules).configuration;
+    PacketSteering steering("b");
+    std::vector<MemberRecord> records = zonedAgents();
+    records[5].state = MemberState::Draining;
+    steering.update(0s, configuration.services[0], configuration, records);
+    for (uint16_t port = 1024; port < 1124; ++port) {
+        ForwardedPacket forwarded { .packet = openingPacket(testFlow(port)) };
+        CHECK_TRUE(steering.route(1s, configuration.services[0], forwarded));
+        CHECK_EQUAL(5, forwarded.candidates.size());
+        for (size_t place = 0; place < 2; ++place) {
+            CHECK_TRUE(forwarded.candidates[place] == agentAddress(2) || forwarded.candidates[place] == agentAddress(3));
+        }
+        CHECK_TRUE(std::find(forwarded.candidates.begin(), forwarded.candidates.end(), agentAddress(5)) == forwarded.candidates.end());
+    }
+}
+
+TEST(PacketSteering, ADrainingZoneGetsNoOpeningAndKeepsItsFlows)
+{
+    const Configuration configuration = parseRules(zonedRules + "zone b drain # t\n").configuration;
+    PacketSteering steering("b");
+    steering.update(0s, configuration.services[0], configuration, zonedAgents());
+    bool isFound = false;
+    for (uint16_t port = 1024; port < 1124; ++port) {
+        ForwardedPacket opening { .packet = openingPacket(testFlow(port)) };
+        CHECK_TRUE(steering.route(1s, configuration.services[0], opening));
+        for (Address candidate : opening.candidates) {
+            CHECK_TRUE(candidate != agentAddress(2) && candidate != agentAddress(3));
+        }
+        ForwardedPacket later { .packet = requestPacket(testFlow(port), 1) };
+        CHECK_TRUE(steering.route(1s, configuration.services[0], later));
+        isFound = isFound || std::find(later.candidates.begin(), later.candidates.end(), agentAddress(2)) != later.candidates.end();
+    }
+    CHECK_TRUE(isFound);
+}
