--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -1,13 +1,13 @@
 /** @file rule_parser.cpp One rule a line, each with a comment that names who asked. */
 #include "config/rule_func.h"
 
+#include "config/rule_line.h"
 #include "core/hash_func.h"
 #include "core/text_func.h"
 #include "wire/message_type.h"
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <optional>
 
 namespace lavender {
@@ -19,50 +19,6 @@
     constexpr uint32_t maximumRampMilliseconds = 3'600'000;
     constexpr uint32_t maximumColdOpenings = 1'000'000; ///< A second.
 
-    struct Word {
-        std::string_view text;
-        RulePosition position;
-    };
-
-    struct Line {
-        std::vector<Word> words; ///< Before the comment.
-        std::string_view comment; ///< Behind '#', trimmed.
-        RulePosition end; ///< Just behind the last word.
-        bool hasComment = false;
-    };
-
-    bool isBlank(char character) { return character == ' ' || character == '\t' || character == '\r'; }
-
-    Line splitLine(std::string_view text, size_t number)
-    {
-        Line line;
-        size_t at = 0;
-        while (at < text.size()) {
-            if (isBlank(text[at])) {
-                ++at;
-                continue;
-            }
-            if (text[at] == '#') {
-                line.hasComment = true;
-                line.comment = text.substr(at + 1);
-                while (!line.comment.empty() && isBlank(line.comment.front())) {
-                    line.comment.remove_prefix(1);
-                }
-                while (!line.comment.empty() && isBlank(line.comment.back())) {
-                    line.comment.remove_suffix(1);
-                }
-                break;
-            }
-            const size_t start = at;
-            while (at < text.size() && !isBlank(text[at]) && text[at] != '#') {
-                ++at;
-            }
-            line.words.push_back({ text.substr(start, at - start), { number, start + 1 } });
-            line.end = { number, at + 1 };
-        }
-        return line;
-    }
-
     /** Walks over the words of one line and notes what is wrong with them. */
     class LineReader {
     public:
@@ -338,31 +294,6 @@
         }
     }
 
-    /** Replaces the lines for which @p isMatch holds by @p line; where none does, adds it at the end. Empty @p line removes. */
-    std::string replaceLine(std::string_view text, const std::function<bool(const Line&)>& isMatch, const std::string& line)
-    {
-        std::string result;
-        bool isDone = line.empty();
-        size_t at = 0;
-        while (at < text.size()) {
-            const size_t end = std::min(text.find('\n', at), text.size());
-            const std::string_view old = text.substr(at, end - at);
-            const Line words = splitLine(old, 0);
-            const bool isMatching = !words.words.empty() && isMatch(words);
-            if (!isMatching) {
-                appendText(result, old, end < text.size() ? "\n" : "");
-            } else if (!isDone) {
-                appendText(result, line, "\n");
-                isDone = true;
-            }
-            at = end + 1;
-        }
-        if (!isDone) {
-            appendText(result, result.empty() || result.back() == '\n' ? "" : "\n", line, "\n");
-        }
-        return result;
-    }
-
 } // namespace
 
 bool Configuration::mayAnnounce(const std::string& service, const std::string& zone) const
@@ -412,17 +343,4 @@
     return result;
 }
 
-std::string withZone(std::string_view text, std::string_view zone, bool isOut, std::string_view who)
-{
-    const auto isMatch = [zone](const Line& line) { return line.words.size() > 1 && line.words[0].text == "zone" && line.words[1].text == zone; };
-    return replaceLine(text, isMatch, concat("zone ", zone, isOut ? " out" : " in", " # ", who));
-}
-
-std::string withDrain(std::string_view text, Address agent, bool isDrained, std::string_view who)
-{
-    const std::string address = formatAddress(agent);
-    const auto isMatch = [&address](const Line& line) { return line.words.size() > 1 && line.words[0].text == "drain" && line.words[1].text == address; };
-    return replaceLine(text, isMatch, isDrained ? concat("drain ", address, " # ", who) : "");
-}
-
 } // namespace lavender
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -132,20 +132,22 @@
     void passOn(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
     bool forwardToNext(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
-    void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
-    void endRound(TimePoint now, const FlowKey& flow, Actions& actions);
-    void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
-    void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
-    bool mayDeclareLost(TimePoint now) const;
     bool isUnsureOf(TimePoint now, const FlowKey& flow) const;
     void answerAsker(const FlowKey& flow, Address asker, bool isHere, Actions& actions) const;
-    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
-    void handle(TimePoint now, const FlowQuery& query, Actions& actions);
-    void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
     bool mayHoldUnknown(TimePoint now) const;
     void remember(TimePoint now, const FlowKey& flow, Address owner);
     void fillCandidates(ForwardedPacket& forwarded) const;
 
+    // packet_search.cpp
+    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
+    void handle(TimePoint now, const FlowQuery& query, Actions& actions);
+    void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
+    void endRound(TimePoint now, const FlowKey& flow, Actions& actions);
+    void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
+    void concludeSearch(TimePoint now, const FlowKey& flow, Actions& actions);
+    bool mayDeclareLost(TimePoint now) const;
+
     // packet_return.cpp
     void handleReturned(TimePoint now, const Segment& segment, std::span<const uint8_t> packet, Actions& actions);
     void handleFromUpstream(TimePoint now, const Segment& segment, std::span<const uint8_t> packet, Actions& actions);
