Read once more: a second table refresh, a check that never held, a sort of nothing

Cause: beginServing refreshed tables that its tick had just refreshed; refreshSelf compared with an obstacle that its source never returns; each packet's candidates were partitioned though no agent was avoided; a stand-in took a parameter that it did not use. Change: none of these any more. Behaviour is the same.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -303,7 +303,6 @@
     if (this->servingSince != TimePoint {} || !this->isServing()) {
         return;
     }
-    this->refreshTables(now);
     this->servingSince = now;
     for (const auto& [since, packet] : std::exchange(this->held, {})) {
         if (now - since < holdTime) {
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -20,6 +20,9 @@
 
 void OpeningTracker::sortAvoided(std::vector<Address>& candidates) const
 {
+    if (this->avoided.empty()) {
+        return; // As for nearly every packet.
+    }
     std::stable_partition(candidates.begin(), candidates.end(), [this](Address agent) { return !this->avoided.contains(agent); });
 }
 
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -260,7 +260,7 @@
     }
     const uint16_t slots = this->latestReport ? this->latestReport->slots : this->settings.slots;
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
-    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections && obstacle != Obstacle::QueueFull;
+    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections;
     if (isBelief && obstacle != this->loggedObstacle) {
         this->events.note(EventLevel::Info, "admission-changed", { { "obstacle", std::string(toText(obstacle)) }, { "before", std::string(toText(this->loggedObstacle)) }, { "report_age_ms", std::to_string(toMilliseconds(now - this->reportedAt)) }, { "revision", std::to_string(this->follower.revision()) } });
         this->loggedObstacle = obstacle;
--- a/tools/lib/platform_standins.py
+++ b/tools/lib/platform_standins.py
@@ -280,7 +280,7 @@
         listen = {"datagramAddr": f"{host}:{self.fabric}", "ready": f"{host}:{self.ready}", "control": f"{host}:{self.control}", "outbound": f"{host}:{self.outbound}"}
         return {"ip": host, "zone": zone, "listen": listen, "internalPorts": [self.internal, self.internal], "seeds": [f"127.1.0.1:{self.control}"], "heartbeatMs": int(HEARTBEAT_SECONDS * 1000), "platform": {"address": self.store_address}}
 
-    def configure(self, version, ports, zones_out=()):
+    def configure(self, version, ports):
         routes = [{"name": f"r{port}", "host": "198.18.0.1", "prefix": f"/{port}/", "service": "orders", "kind": "safe"} for port in ports]
         services = [{"name": "orders", "healthPath": "/health", "maxConns": 2000, "coldStartS": 1.0, "coldPerS": 0.0}]
         self.store.put("op/config", json.dumps({"version": version, "routes": routes, "services": services, "limits": {"idleTimeoutMs": 15000}}))
