An upstream that gives openings back is tried seldom

Its agent always counted a free slot, so every balancer offered it every opening: 3,423 offers in 3 s. Ruled out: silence (the packets that came back counted as signs of life), heartbeats (none came since the agent's start). Change: RefusalBackoff pauses openings for 50 ms, doubling to 1 s, until one is accepted or a new upstream reports.

--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -139,6 +139,7 @@
 {
     this->firstReportAt = now;
     this->firstColdLeft = fresh.coldLeft;
+    this->refusals.reset();
     this->events.note(EventLevel::Info, "upstream-started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->latestReport ? this->latestReport->id : "none" } });
 }
 
@@ -207,6 +208,9 @@
     if (this->isUpstreamSilent(now)) {
         return Obstacle::Silent;
     }
+    if (this->refusals.isPaused(now)) {
+        return Obstacle::Refusing;
+    }
     if (this->flows.size() >= rule->connections) {
         return Obstacle::Connections;
     }
@@ -239,6 +243,8 @@
         return "no_rules";
     case Obstacle::Silent:
         return "upstream_silent";
+    case Obstacle::Refusing:
+        return "upstream_refusing";
     case Obstacle::Connections:
         return "connections_full";
     case Obstacle::QueueFull:
@@ -260,7 +266,7 @@
     }
     const uint16_t slots = this->latestReport ? this->latestReport->slots : this->settings.slots;
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
-    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections;
+    const bool isBelief = obstacle != Obstacle::Cold && obstacle != Obstacle::Connections && obstacle != Obstacle::Refusing;
     if (isBelief && obstacle != this->loggedObstacle) {
         this->events.note(EventLevel::Info, "admission-changed", { { "obstacle", std::string(toText(obstacle)) }, { "before", std::string(toText(this->loggedObstacle)) }, { "report_age_ms", std::to_string(toMilliseconds(now - this->reportedAt)) }, { "revision", std::to_string(this->follower.revision()) } });
         this->loggedObstacle = obstacle;
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -9,6 +9,7 @@
 #include "core/metrics_func.h"
 #include "packet/cold_gate.h"
 #include "packet/packet_flow.h"
+#include "packet/refusal_backoff.h"
 #include "packet/segment_base.h"
 #include "packet/upstream_report.h"
 #include "steer/bucket_table.h"
@@ -97,6 +98,7 @@
         ZoneDraining,
         NoRules,
         Silent,
+        Refusing,
         Connections,
         QueueFull,
         Cold,
@@ -172,6 +174,7 @@
     LatencyHistogram answers; ///< From a caller's data to the first data back.
     double searchTokens = 0;
     ColdGate gate;
+    RefusalBackoff refusals;
     std::optional<UpstreamReport> latestReport; ///< That counts.
     TimePoint reportedAt {};
     Duration firstColdLeft {}; ///< As the first report of the lifetime said.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -40,6 +40,7 @@
         if (isUnknown || flow.stage == FlowStage::Offered || flow.stage == FlowStage::Probing) {
             flow.stage = FlowStage::Answered;
             flow.upstreamSequence = segment.sequence;
+            this->refusals.reset();
             this->handshakes.add(now - flow.offeredAt);
             this->report({ key, this->settings.address, OpeningResult::Accepted }, flow.balancer, actions);
             if (flow.home.isValid() && flow.home != this->settings.address) {
@@ -85,6 +86,7 @@
         const Address balancer = found->second.balancer;
         this->forget(key);
         if (segment.isOpening) {
+            this->refusals.onRefused(now);
             this->report({ key, this->settings.address, OpeningResult::Refused }, balancer, actions);
             return;
         }
--- a/tests/packet_agent_test.cpp
+++ b/tests/packet_agent_test.cpp
@@ -345,3 +345,42 @@
     CHECK_FALSE(gate.mayOpen(2s));
     CHECK(gate.mayOpen(2s + 100ms));
 }
+
+/** Pattern: a crashed upstream whose port gives every opening back, with a free slot by all that the agent can count. */
+TEST(PacketAgent, AnUpstreamThatGivesOpeningsBackIsTriedSeldom)
+{
+    PacketScene scene;
+    const auto refuse = [&scene](uint16_t port) {
+        scene.receive(makePacket(caller(port), packetService, OpeningFlag));
+        const bool isTried = !scene.of<SendToUpstream>().empty();
+        if (isTried) {
+            scene.fromUpstream(makePacket(caller(port), packetService, OpeningFlag | ReturnedFlag));
+        }
+        CHECK(scene.outcome() == OpeningResult::Refused);
+        return isTried;
+    };
+    size_t tries = 0;
+    for (uint16_t port = 1; port <= 300; ++port) {
+        tries += refuse(port) ? 1 : 0;
+        scene.advance(10ms);
+        CHECK(scene.report(port + 1U));
+    }
+    CHECK(tries >= 3 && tries <= 8);
+    scene.advance(1s);
+    scene.receive(makePacket(caller(400), packetService, OpeningFlag));
+    scene.fromUpstream(makePacket(packetService, caller(400), OpeningFlag | AcknowledgingFlag, 1000, 1));
+    scene.receive(makePacket(caller(401), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
+
+TEST(PacketAgent, ANewUpstreamIsNotMadeToWaitForTheRefusalsOfTheOneBefore)
+{
+    PacketScene scene;
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    scene.fromUpstream(makePacket(caller(1), packetService, OpeningFlag | ReturnedFlag));
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag));
+    CHECK(scene.outcome() == OpeningResult::Refused);
+    CHECK(scene.report(1, 2, {}, false, "u2", 600'000));
+    scene.receive(makePacket(caller(3), packetService, OpeningFlag));
+    CHECK_EQUAL(1, scene.of<SendToUpstream>().size());
+}
