Offers: each answer tells the agent's load, full queues are not asked again for 30 ms

Change: an answer carries busy, slots and limit; the tracker believes it for 30 ms, counts its own offers on top, goes straight to the shortest queue where no slot is free, and tries a second queue where the first has filled.

--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -2,6 +2,7 @@
 #include "balancer/opening_tracker.h"
 
 #include <algorithm>
+#include <bit>
 #include <string>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
     constexpr Duration answerTimeout = 60ms; ///< Twenty crossings of zones; two agents in a row may fail before the caller's first copy.
     constexpr size_t busyOffers = 5; ///< Agents asked for a free slot before the shortest queue is taken.
+    constexpr int placeOffers = 2; ///< Queues tried: the second where the first has filled since it was heard of.
+    constexpr Duration loadAge = 30ms; ///< An upstream of 8 slots and 60 ms a request frees some four slots in that time.
+    constexpr Duration loadMemory = 200ms; ///< Who was asked for the same opening is believed until the caller's first copy.
     constexpr Duration idleAge = 10s; ///< An owner is forgotten when its flow was not used for so long.
     constexpr Duration avoidTime = 3s; ///< Heartbeats decide from then on.
     constexpr Duration askPeriod = 200ms;
@@ -60,8 +64,17 @@
     this->offerNext(now, opening, actions);
 }
 
+OpeningTracker::AgentLoad* OpeningTracker::recentLoad(TimePoint now, Address agent)
+{
+    const auto found = this->loads.find(agent);
+    return found == this->loads.end() || now - found->second.heard >= loadAge ? nullptr : &found->second;
+}
+
 void OpeningTracker::offer(TimePoint now, Opening& opening, Address agent, Actions& actions)
 {
+    if (AgentLoad* load = this->recentLoad(now, agent); load != nullptr) {
+        ++load->busy; // Until its answer says otherwise.
+    }
     opening.target = agent;
     opening.offeredAt = now;
     ForwardedPacket packet = opening.packet;
@@ -70,19 +83,64 @@
     actions.push_back(SendMessage { agent, std::move(packet) });
 }
 
-void OpeningTracker::offerNext(TimePoint now, Opening& opening, Actions& actions)
+/** Asks the next candidate that may have a free slot. Those that do not answer come last, and only if no queue is known. */
+bool OpeningTracker::askForSlot(TimePoint now, Opening& opening, Actions& actions)
+{
+    const auto& candidates = opening.packet.candidates;
+    for (size_t index = 0; index < candidates.size(); ++index) {
+        const uint32_t bit = 1U << index;
+        const AgentLoad* load = this->recentLoad(now, candidates[index]);
+        const bool isTaken = load != nullptr && load->busy >= std::min(load->slots, load->limit);
+        opening.isFull = opening.isFull || (isTaken && load->limit != 0);
+        if ((opening.asked & bit) != 0 || isTaken || (opening.isFull && this->avoided.contains(candidates[index]))) {
+            continue;
+        }
+        opening.asked |= bit;
+        ++opening.offers;
+        this->offer(now, opening, candidates[index], actions);
+        return true;
+    }
+    return false;
+}
+
+/** Takes the shortest queue that is known. */
+bool OpeningTracker::askForPlace(TimePoint now, Opening& opening, Actions& actions)
 {
     const auto& candidates = opening.packet.candidates;
-    const bool mayGoOn = !opening.isPlaced && opening.offers < candidates.size() && !(opening.fallback.isValid() && opening.offers >= busyOffers);
-    if (mayGoOn) {
-        this->offer(now, opening, candidates[opening.offers++], actions);
+    const AgentLoad* shortest = nullptr;
+    size_t choice = 0;
+    for (size_t index = 0; index < candidates.size(); ++index) {
+        const auto known = this->loads.find(candidates[index]);
+        const bool isAsked = (opening.asked & 1U << index) != 0;
+        const AgentLoad* load = isAsked && known != this->loads.end() ? &known->second : this->recentLoad(now, candidates[index]);
+        const bool hasPlace = load != nullptr && load->busy < load->limit && (opening.placed & 1U << index) == 0 && !this->avoided.contains(candidates[index]);
+        // Queues in parts of the slots that work them off.
+        if (hasPlace && (shortest == nullptr || load->busy * shortest->slots < shortest->busy * load->slots)) {
+            shortest = load;
+            choice = index;
+        }
+    }
+    if (shortest == nullptr || std::popcount(opening.placed) >= placeOffers) {
+        return false;
+    }
+    opening.placed |= 1U << choice;
+    opening.isPlaced = true;
+    this->offer(now, opening, candidates[choice], actions);
+    return true;
+}
+
+void OpeningTracker::offerNext(TimePoint now, Opening& opening, Actions& actions)
+{
+    const bool mayAsk = !opening.isPlaced && opening.offers < busyOffers;
+    if (mayAsk && this->askForSlot(now, opening, actions)) {
         return;
     }
-    if (opening.fallback.isValid() && !opening.isPlaced) {
-        opening.isPlaced = true;
-        this->offer(now, opening, opening.fallback, actions);
+    if (this->askForPlace(now, opening, actions)) {
         return;
     }
+    if (!opening.isPlaced && this->askForSlot(now, opening, actions)) {
+        return; // Nobody has a queue so far: the others too.
+    }
     opening.target = {};
     this->refused.push_back({ opening.packet.packet, opening.isFull });
 }
@@ -90,31 +148,21 @@
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
 {
     this->avoided.erase(outcome.agent);
+    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now };
     const auto found = this->openings.find(outcome.flow);
     if (found == this->openings.end()) {
         return;
     }
     Opening& opening = found->second;
-    switch (outcome.result) {
-    case OpeningResult::Accepted:
+    if (outcome.result == OpeningResult::Accepted) {
         this->latencies.add(now - opening.begunAt);
         opening.owner = outcome.agent;
         opening.target = {};
         opening.lastUse = now;
         opening.packet.packet.payload.clear();
         return;
-    case OpeningResult::Busy:
-        if (!opening.fallback.isValid() || outcome.queue < opening.fallbackQueue) {
-            opening.fallback = outcome.agent;
-            opening.fallbackQueue = outcome.queue;
-        }
-        break;
-    case OpeningResult::Full:
-        opening.isFull = true;
-        break;
-    case OpeningResult::Refused:
-        break;
     }
+    opening.isFull = opening.isFull || outcome.result != OpeningResult::Refused;
     if (outcome.agent == opening.target) {
         this->offerNext(now, opening, actions);
     }
@@ -133,13 +181,12 @@
             this->counters.add(Counter::AgentsAvoided);
             this->events.note(EventLevel::Info, "agent-avoided", { { "agent", formatAddress(opening.target) }, { "flow", formatFlow(flow) }, { "unanswered_ms", std::to_string(toMilliseconds(now - opening.offeredAt)) } });
         }
-        if (opening.fallback == opening.target) {
-            opening.fallback = {};
-        }
+        this->loads.erase(opening.target);
         this->offerNext(now, opening, actions);
     }
     std::erase_if(this->openings, [now](const auto& entry) { return now - entry.second.lastUse >= idleAge; });
     std::erase_if(this->avoided, [now](const auto& entry) { return now >= entry.second.until; });
+    std::erase_if(this->loads, [now](const auto& entry) { return now - entry.second.heard >= loadMemory; });
     std::vector<Address> asked;
     for (auto& [agent, avoidance] : this->avoided) {
         if (now - avoidance.asked >= askPeriod) {
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -23,8 +23,9 @@
 /**
  * Offers opening packets to one agent after the other until an upstream answers.
  *
- * An agent that leaves an offer unanswered is passed over from then on, long before its heartbeats are missed. Keeps
- * some seconds of openings, and the owners of flows that are in use, which shortens their way and nothing else.
+ * Each answer tells the agent's load, which for some milliseconds spares others the question. An agent that leaves an
+ * offer unanswered is passed over from then on, long before its heartbeats are missed. Keeps some seconds of openings, and
+ * the owners of flows that are in use, which shortens their way and nothing else.
  */
 class OpeningTracker {
 public:
@@ -58,18 +59,26 @@
 private:
     struct Opening {
         ForwardedPacket packet;
-        size_t offers = 0; ///< Candidates that were offered the packet.
+        size_t offers = 0; ///< Candidates that were asked for a free slot.
+        uint32_t asked = 0; ///< Those, a bit for each candidate.
+        uint32_t placed = 0; ///< Candidates whose queue was tried, a bit for each.
         Address target; ///< Who has the offer now; not valid where nobody does.
         TimePoint offeredAt {};
         TimePoint begunAt {};
         TimePoint lastUse {};
         Address owner; ///< Not valid until an upstream has answered.
-        Address fallback; ///< Agent with the shortest queue so far; not valid where none could take it.
-        uint16_t fallbackQueue = 0;
-        bool isPlaced = false; ///< Offered to the fallback.
+        bool isPlaced = false; ///< The present offer is for a place in the queue.
         bool isFull = false; ///< Some agent's queue is full.
     };
 
+    /** What an agent said last, and what it was offered since. */
+    struct AgentLoad {
+        uint16_t busy = 0;
+        uint16_t slots = 0;
+        uint16_t limit = 0;
+        TimePoint heard {};
+    };
+
     struct Avoidance {
         TimePoint until {};
         TimePoint asked {};
@@ -77,13 +86,17 @@
 
     void begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions);
     void offerNext(TimePoint now, Opening& opening, Actions& actions);
+    bool askForSlot(TimePoint now, Opening& opening, Actions& actions);
+    bool askForPlace(TimePoint now, Opening& opening, Actions& actions);
     void offer(TimePoint now, Opening& opening, Address agent, Actions& actions);
+    AgentLoad* recentLoad(TimePoint now, Address agent);
     void sortAvoided(std::vector<Address>& candidates) const;
 
     Counters& counters;
     EventSink& events;
     std::unordered_map<FlowKey, Opening> openings;
     std::map<Address, Avoidance> avoided;
+    std::map<Address, AgentLoad> loads;
     std::vector<RefusedOpening> refused;
     LatencyHistogram latencies;
     TimePoint lastTick {};
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -26,7 +26,6 @@
     constexpr double searchBurst = 400;
     constexpr uint16_t weightPerSlot = 100;
     constexpr Duration restartTime = 150ms; ///< An agent that died is back no sooner.
-    constexpr size_t lateQueueLimitHalves = 2;
     constexpr size_t queueLimitHalves = 5; ///< Requests at the upstream, in halves of its slots: who comes later would wait for more than 1.5 turns.
 
     MemberRecord selfRecord(const PacketAgentSettings& settings)
@@ -220,12 +219,17 @@
 /** Fresh callers may wait a little; the work of those that have sent copies is late already and takes free slots only. */
 PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now, const Segment& opening) const
 {
-    const size_t halves = opening.acknowledged == 0 ? queueLimitHalves : lateQueueLimitHalves;
-    const bool isFull = this->waitingFlows * 2 >= static_cast<size_t>(this->peers.self().slots) * halves;
+    const size_t limit = opening.acknowledged == 0 ? this->queueLimit() : this->peers.self().slots;
+    const bool isFull = this->waitingFlows >= limit;
     const Obstacle obstacle = this->obstacle(now);
     return obstacle == Obstacle::None && isFull ? Obstacle::QueueFull : obstacle;
 }
 
+size_t PacketAgent::queueLimit() const
+{
+    return static_cast<size_t>(this->peers.self().slots) * queueLimitHalves / 2;
+}
+
 std::string_view PacketAgent::toText(Obstacle obstacle)
 {
     switch (obstacle) {
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -119,11 +119,12 @@
     bool beganWithUpstream() const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
+    size_t queueLimit() const;
 
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
     void handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
-    void report(const OpeningOutcome& outcome, Address balancer, Actions& actions);
+    void report(TimePoint now, const FlowKey& flow, OpeningResult result, Address balancer, Actions& actions) const;
     void hold(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void releaseHeld(TimePoint now, Actions& actions);
     void open(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -42,7 +42,7 @@
             flow.upstreamSequence = segment.sequence;
             this->refusals.reset();
             this->handshakes.add(now - flow.offeredAt);
-            this->report({ key, this->settings.address, OpeningResult::Accepted }, flow.balancer, actions);
+            this->report(now, key, OpeningResult::Accepted, flow.balancer, actions);
             if (flow.home.isValid() && flow.home != this->settings.address) {
                 this->answerAsker(key, flow.home, true, actions);
             }
@@ -87,7 +87,7 @@
         this->forget(key);
         if (segment.isOpening) {
             this->refusals.onRefused(now);
-            this->report({ key, this->settings.address, OpeningResult::Refused }, balancer, actions);
+            this->report(now, key, OpeningResult::Refused, balancer, actions);
             return;
         }
         if (asker.isValid()) {
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -130,23 +130,26 @@
         this->open(now, segment, forwarded, actions);
         return;
     }
-    OpeningOutcome outcome { .flow = forwarded.packet.flow, .agent = this->settings.address };
+    OpeningResult result = OpeningResult::Refused;
     if (obstacle == Obstacle::None) {
-        outcome.result = OpeningResult::Busy;
-        outcome.queue = static_cast<uint16_t>(std::min<size_t>(this->waitingFlows - slots, UINT16_MAX));
+        result = OpeningResult::Busy;
     } else if (obstacle == Obstacle::QueueFull) {
-        outcome.result = OpeningResult::Full;
+        result = OpeningResult::Full;
     }
     this->count.add(Counter::FlowsRefused);
     this->events.note(EventLevel::Info, "opening-passed", { { "flow", formatFlow(forwarded.packet.flow) }, { "reason", std::string(toText(obstacle)) }, { "busy", std::to_string(this->waitingFlows) }, { "slots", std::to_string(slots) }, { "revision", std::to_string(this->follower.revision()) } });
-    this->report(outcome, forwarded.balancer, actions);
+    this->report(now, forwarded.packet.flow, result, forwarded.balancer, actions);
 }
 
-void PacketAgent::report(const OpeningOutcome& outcome, Address balancer, Actions& actions)
+/** Tells the balancer what became of an opening, and what it may offer next. */
+void PacketAgent::report(TimePoint now, const FlowKey& flow, OpeningResult result, Address balancer, Actions& actions) const
 {
-    if (balancer.isValid()) {
-        actions.push_back(SendMessage { balancer, outcome });
+    if (!balancer.isValid()) {
+        return;
     }
+    const auto clamp = [](size_t number) { return static_cast<uint16_t>(std::min<size_t>(number, UINT16_MAX)); };
+    const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit() : 0;
+    actions.push_back(SendMessage { balancer, OpeningOutcome { flow, this->settings.address, result, clamp(this->waitingFlows), this->peers.self().slots, clamp(limit) } });
 }
 
 /** Keeps an opening packet until the rules are here; they are asked for at once. */
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -188,7 +188,9 @@
     FlowKey flow;
     Address agent;
     OpeningResult result = OpeningResult::Refused;
-    uint16_t queue = 0; ///< Requests beyond the slots, for Busy.
+    uint16_t busy = 0; ///< Requests that the upstream has now.
+    uint16_t slots = 0; ///< Requests that it runs at once.
+    uint16_t limit = 0; ///< Requests at the upstream at which the agent takes no fresh opening any more; 0 where it takes none at all.
     bool operator==(const OpeningOutcome&) const = default;
 };
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -106,7 +106,7 @@
 {
     archive(outcome.flow, outcome.agent);
     transferEnum(archive, outcome.result, OpeningResult::Refused);
-    archive(outcome.queue);
+    archive(outcome.busy, outcome.slots, outcome.limit);
 }
 
 template <typename Archive>
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -18,7 +18,7 @@
     return { packet, ForwardedPacket { packet, 9, { { 1, 2 }, { 3, 4 } }, 3, 2, true, { 5, 6 } }, FlowQuery { 1, flow, { 1, 2 } }, FlowQueryReply { flow, { 1, 2 }, { 3, 4 } },
         FlowMove { 1, flow, { 1, 2 }, 99, 3 }, FlowMoveReply { flow, { 1, 2 }, 3, true }, LoadNews { 1, { 1, 2 }, 3, 4, 5 }, Announce { record, 3, 4 },
         AnnounceReply { { 1, 2 }, 3, { record }, { { 5, 6 } }, 7, 8, Liveness::Suspect, true }, Gossip { { 1, 2 }, 3, true, 4, 5, { record, record } },
-        DigestExchange { { 1, 2 }, true, std::vector<uint64_t>(digestBuckets, 7), { record } }, StatusAsk { 1 }, StatusReply { 1, "{}" }, SnapshotAsk { 3, true, 4 }, Snapshot { 3, { 1, 2, 3, "rules", 4 }, { record } }, OpeningOutcome { flow, { 5, 6 }, OpeningResult::Busy, 7 } };
+        DigestExchange { { 1, 2 }, true, std::vector<uint64_t>(digestBuckets, 7), { record } }, StatusAsk { 1 }, StatusReply { 1, "{}" }, SnapshotAsk { 3, true, 4 }, Snapshot { 3, { 1, 2, 3, "rules", 4 }, { record } }, OpeningOutcome { flow, { 5, 6 }, OpeningResult::Busy, 7, 5, 12 } };
 }
 
 std::vector<Exchange> everyExchange()
--- a/tests/opening_tracker_test.cpp
+++ b/tests/opening_tracker_test.cpp
@@ -31,10 +31,21 @@
         this->tracker.open(this->now, std::move(forwarded), this->actions);
     }
 
+    /** An agent of two slots and five places in all answers. @param queue Requests beyond the slots, where it is busy. */
     void answer(uint16_t port, Address agent, OpeningResult result, uint16_t queue = 0)
     {
+        constexpr uint16_t slots = 2;
+        constexpr uint16_t limit = 7;
+        OpeningOutcome outcome { { caller(port), packetService }, agent, result, 1, slots, limit };
+        if (result == OpeningResult::Busy) {
+            outcome.busy = static_cast<uint16_t>(slots + queue);
+        } else if (result == OpeningResult::Full) {
+            outcome.busy = limit;
+        } else if (result == OpeningResult::Refused) {
+            outcome.limit = 0;
+        }
         this->actions.clear();
-        this->tracker.onOutcome(this->now, { { caller(port), packetService }, agent, result, queue }, this->actions);
+        this->tracker.onOutcome(this->now, outcome, this->actions);
     }
 
     void advance(Duration span)
@@ -91,6 +102,7 @@
     const auto deferred = scene.tracker.takeRefused();
     CHECK_EQUAL(1, deferred.size());
     CHECK(deferred.front().isFull);
+    scene.advance(40ms); // What the agents said is old by now.
     scene.open(2);
     scene.answer(2, scene.agents[0], OpeningResult::Refused);
     scene.answer(2, scene.agents[1], OpeningResult::Refused);
@@ -151,3 +163,64 @@
     scene.open(1);
     CHECK(scene.offered() == scene.agents[0]);
 }
+
+/** Pattern: overload after a common restart. Every opening used to be offered to every agent, and the answers took the processor. */
+TEST(OpeningTracker, AgentsThatJustSaidFullAreNotAskedAgain)
+{
+    OfferScene scene(3);
+    scene.open(1);
+    for (Address agent : scene.agents) {
+        scene.answer(1, agent, OpeningResult::Full);
+    }
+    CHECK(scene.tracker.takeRefused().front().isFull);
+    scene.open(2);
+    CHECK(scene.actions.empty());
+    CHECK(scene.tracker.takeRefused().front().isFull);
+    scene.advance(40ms);
+    scene.open(3);
+    CHECK(scene.offered() == scene.agents[0]);
+}
+
+/** Pattern: overload. With all slots taken the next opening goes to the shortest queue by one message. */
+TEST(OpeningTracker, KnownQueuesNeedNoQuestion)
+{
+    OfferScene scene(3);
+    scene.open(1);
+    scene.answer(1, scene.agents[0], OpeningResult::Busy, 4);
+    scene.answer(1, scene.agents[1], OpeningResult::Busy, 1);
+    scene.answer(1, scene.agents[2], OpeningResult::Busy, 3);
+    scene.actions.clear();
+    for (uint16_t port = 2; port <= 4; ++port) {
+        scene.open(port);
+        CHECK_EQUAL(1, scene.actions.size());
+        CHECK(scene.isPlaced());
+    }
+    // The shortest had two places more than the next: its fourth guest since goes there.
+    CHECK(scene.offered() == scene.agents[2]);
+}
+
+/** Pattern: herd. Openings between two answers of an agent do not all count on its one free slot. */
+TEST(OpeningTracker, AFreeSlotIsCountedOnOnce)
+{
+    OfferScene scene(2);
+    scene.open(1);
+    scene.answer(1, scene.agents[0], OpeningResult::Accepted);
+    scene.open(2);
+    CHECK(scene.offered() == scene.agents[0]);
+    scene.open(3);
+    CHECK(scene.offered() == scene.agents[1]);
+}
+
+TEST(OpeningTracker, AQueueThatFilledMeanwhileIsNotTheLastWord)
+{
+    OfferScene scene(2);
+    scene.open(1);
+    scene.answer(1, scene.agents[0], OpeningResult::Busy, 1);
+    scene.answer(1, scene.agents[1], OpeningResult::Busy, 2);
+    CHECK(scene.offered() == scene.agents[0]);
+    scene.answer(1, scene.agents[0], OpeningResult::Full);
+    CHECK(scene.offered() == scene.agents[1]);
+    CHECK(scene.isPlaced());
+    scene.answer(1, scene.agents[1], OpeningResult::Full);
+    CHECK(scene.tracker.takeRefused().front().isFull);
+}
