The queue at an upstream is as long as the route's goal allows

Change: routes carry a goal (rules: 'goal MS'; the platform's latencyGoalMs); agents learn the time of work from answers and queue as many as are in time. An upstream that became twice as slow and too slow for the goal takes one fresh request at a time. Tests: PacketAgent.TheQueueIsAsLong..., AnUpstreamThatBecameTooSlow..., AGoalOutOfReach... Retries of callers look like fresh openings, so half of what is admitted there is late already: that binds.

--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -17,6 +17,7 @@
     constexpr uint32_t maximumSlots = 600; ///< Weights on the wire hold hundredths of a slot in 16 bits.
     constexpr uint32_t maximumConnections = 1'000'000;
     constexpr uint32_t maximumRampMilliseconds = 3'600'000;
+    constexpr uint32_t maximumGoalMilliseconds = 600'000;
     constexpr uint32_t maximumColdOpenings = 1'000'000; ///< A second.
 
     /** Walks over the words of one line and notes what is wrong with them. */
@@ -186,6 +187,12 @@
         }
         if (!configuration.serviceByAddress.emplace(*address, configuration.serviceByHash[service->nameHash]).second) {
             reader.fail(addressPosition, concat("address ", formatAddress(*address), " belongs to another service: expected a free one"));
+            return;
+        }
+        if (reader.isNext("goal")) {
+            (void)reader.takeWord("goal");
+            const std::optional<uint32_t> goal = reader.takeNumber(1, maximumGoalMilliseconds);
+            configuration.latencyGoals[*address] = std::chrono::milliseconds(goal.value_or(1));
         }
     }
 
--- a/src/config/rule_type.h
+++ b/src/config/rule_type.h
@@ -48,6 +48,7 @@
     std::string text; ///< The operators' file, unchanged.
     std::vector<ServiceRule> services; ///< Indexed by ServiceId.
     std::map<Address, ServiceId> serviceByAddress;
+    std::map<Address, Duration> latencyGoals; ///< Of requests to an address, from the caller's first packet to the answer.
     std::map<uint64_t, ServiceId> serviceByHash; ///< By ServiceRule::nameHash.
     std::set<std::pair<std::string, std::string>> announcers; ///< Service and zone whose agents may announce.
     std::set<std::string> zones; ///< Every zone that a rule names.
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -13,20 +13,17 @@
 
     constexpr Duration fetchPeriod = 500ms;
     constexpr Duration expiryPeriod = 500ms;
-    constexpr Duration answerTimeout = 150ms; ///< An upstream answers an opening packet in less than a millisecond.
     constexpr Duration unopenedAge = 2s; ///< A caller gives an opening up after 1.4 s.
     constexpr Duration probeAge = 3s;
     constexpr Duration endedAge = 3s; ///< Twice the longest time between two retransmissions.
     constexpr Duration idleMargin = 20s; ///< Kept beyond the age at which a flow may be forgotten.
     constexpr Duration longestWork = 15s; ///< A flow that waits for longer no longer counts as busy.
-    constexpr Duration longestSilence = 1900ms; ///< The address of an upstream that ended may be another's after 2 s.
     constexpr Duration searchPeriod = 300ms;
     constexpr Duration searchAge = 1500ms;
     constexpr double searchesPerSecond = 200;
     constexpr double searchBurst = 400;
     constexpr uint16_t weightPerSlot = 100;
     constexpr Duration restartTime = 150ms; ///< An agent that died is back no sooner.
-    constexpr size_t queueLimitHalves = 5; ///< Requests at the upstream, in halves of its slots: who comes later would wait for more than 1.5 turns.
 
     MemberRecord selfRecord(const PacketAgentSettings& settings)
     {
@@ -139,6 +136,7 @@
     this->firstReportAt = now;
     this->firstColdLeft = fresh.coldLeft;
     this->refusals.reset();
+    this->workTime.reset();
     this->events.note(EventLevel::Info, "upstream-started", { { "upstream", fresh.id }, { "started", fresh.started ? std::to_string(*fresh.started) : "unknown" }, { "cold_ms", std::to_string(toMilliseconds(fresh.coldLeft)) }, { "before", this->latestReport ? this->latestReport->id : "none" } });
 }
 
@@ -173,92 +171,6 @@
     return now - this->settings.startedAt < this->settings.flowAge && !this->beganWithUpstream();
 }
 
-bool PacketAgent::isUpstreamSilent(TimePoint now) const
-{
-    if (this->hasSaidGoodbye) {
-        return true;
-    }
-    if (this->unansweredSince != TimePoint {} && now - this->unansweredSince >= answerTimeout) {
-        return true;
-    }
-    const TimePoint heard = std::max({ this->reportedAt, this->lastUpstreamPacket, this->settings.startedAt });
-    return now - heard >= std::min(this->settings.reportPeriod * 5 / 2, longestSilence);
-}
-
-PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now) const
-{
-    const Configuration& configuration = this->follower.current();
-    const ServiceRule* rule = configuration.findService(this->settings.service);
-    if (this->isStopping) {
-        return Obstacle::Stopping;
-    }
-    if (this->latestReport && (this->latestReport->isDraining || this->latestReport->service != this->settings.service)) {
-        return this->latestReport->isDraining ? Obstacle::Draining : Obstacle::OtherService;
-    }
-    if (configuration.isZoneDraining(this->settings.zone) || configuration.isZoneOut(this->settings.zone)) {
-        return Obstacle::ZoneDraining;
-    }
-    if (rule == nullptr) {
-        return Obstacle::NoRules;
-    }
-    if (configuration.drained.contains(this->settings.address)) {
-        return Obstacle::Draining;
-    }
-    if (this->isUpstreamSilent(now)) {
-        return Obstacle::Silent;
-    }
-    if (this->refusals.isPaused(now)) {
-        return Obstacle::Refusing;
-    }
-    if (this->flows.size() >= rule->connections) {
-        return Obstacle::Connections;
-    }
-    return this->gate.mayOpen(now) ? Obstacle::None : Obstacle::Cold;
-}
-
-/** Fresh callers may wait a little; the work of those that have sent copies is late already and takes free slots only. */
-PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now, const Segment& opening) const
-{
-    const size_t limit = opening.acknowledged == 0 ? this->queueLimit() : this->peers.self().slots;
-    const bool isFull = this->waitingFlows >= limit;
-    const Obstacle obstacle = this->obstacle(now);
-    return obstacle == Obstacle::None && isFull ? Obstacle::QueueFull : obstacle;
-}
-
-size_t PacketAgent::queueLimit() const
-{
-    return static_cast<size_t>(this->peers.self().slots) * queueLimitHalves / 2;
-}
-
-std::string_view PacketAgent::toText(Obstacle obstacle)
-{
-    switch (obstacle) {
-    case Obstacle::None:
-        return "none";
-    case Obstacle::Stopping:
-        return "agent_stopping";
-    case Obstacle::Draining:
-        return "upstream_draining";
-    case Obstacle::OtherService:
-        return "upstream_of_other_service";
-    case Obstacle::ZoneDraining:
-        return "zone_draining";
-    case Obstacle::NoRules:
-        return "no_rules";
-    case Obstacle::Silent:
-        return "upstream_silent";
-    case Obstacle::Refusing:
-        return "upstream_refusing";
-    case Obstacle::Connections:
-        return "connections_full";
-    case Obstacle::QueueFull:
-        return "queue_full";
-    case Obstacle::Cold:
-        return "upstream_cold";
-    }
-    return "unknown";
-}
-
 void PacketAgent::refreshSelf(TimePoint now)
 {
     const Obstacle obstacle = this->obstacle(now);
@@ -294,6 +206,10 @@
         flow.isWaiting = isWaiting;
         this->waitingFlows = isWaiting ? this->waitingFlows + 1 : this->waitingFlows - 1;
     }
+    if (!isWaiting && flow.busyAtRequest != 0) {
+        flow.busyAtRequest = 0;
+        --this->requests;
+    }
     flow.waitingSince = now;
 }
 
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -12,6 +12,7 @@
 #include "packet/refusal_backoff.h"
 #include "packet/segment_base.h"
 #include "packet/upstream_report.h"
+#include "packet/work_time.h"
 #include "steer/bucket_table.h"
 
 #include <set>
@@ -105,7 +106,6 @@
     };
 
     // packet_agent.cpp
-    static std::string_view toText(Obstacle obstacle);
     void setWaiting(TimePoint now, PacketFlow& flow, bool isWaiting);
     void forget(const FlowKey& key);
     void noteRevision(TimePoint now, Address balancer, Revision revision, Actions& actions);
@@ -115,11 +115,14 @@
     void refreshTable();
     void expireFlows(TimePoint now);
     void tickSearches(TimePoint now, Actions& actions);
-    bool isUpstreamSilent(TimePoint now) const;
     bool beganWithUpstream() const;
+
+    // packet_admission.cpp
+    static std::string_view toText(Obstacle obstacle);
+    bool isUpstreamSilent(TimePoint now) const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
-    size_t queueLimit() const;
+    size_t queueLimit(Address service) const;
 
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
@@ -170,12 +173,14 @@
     std::unordered_map<FlowKey, PacketTrace> traces;
     std::unordered_map<FlowKey, Search> searches;
     std::vector<HeldOpening> held;
-    size_t waitingFlows = 0; ///< Flows whose upstream owes an answer.
+    size_t waitingFlows = 0; ///< Flows whose upstream owes an answer, or will when their request comes.
+    uint32_t requests = 0; ///< Requests that the upstream has.
     LatencyHistogram handshakes; ///< From an opening to the upstream's answer.
     LatencyHistogram answers; ///< From a caller's data to the first data back.
     double searchTokens = 0;
     ColdGate gate;
     RefusalBackoff refusals;
+    WorkTime workTime;
     std::optional<UpstreamReport> latestReport; ///< That counts.
     TimePoint reportedAt {};
     Duration firstColdLeft {}; ///< As the first report of the lifetime said.
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -21,6 +21,7 @@
 struct PacketFlow {
     FlowStage stage = FlowStage::Offered;
     bool isWaiting = false; ///< The upstream owes an answer.
+    uint32_t busyAtRequest = 0; ///< Requests at the upstream when the one came that it works on, itself included; 0 where it has none.
     bool isCallerDone = false; ///< The caller has closed its end.
     bool isUpstreamDone = false; ///< The upstream has closed its end.
     uint32_t upstreamSequence = 0; ///< Of the upstream's answer to the opening packet.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -54,7 +54,8 @@
         }
     }
     if (segment.dataBytes > 0) {
-        if (flow.isWaiting) {
+        if (flow.isWaiting && flow.busyAtRequest != 0) {
+            this->workTime.add(now - flow.waitingSince, flow.busyAtRequest, this->peers.self().slots);
             this->answers.add(now - flow.waitingSince);
         }
         this->setWaiting(now, flow, false);
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -108,6 +108,9 @@
     }
     if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
         this->setWaiting(now, flow, true);
+        if (flow.busyAtRequest == 0) {
+            flow.busyAtRequest = ++this->requests;
+        }
     }
     flow.isCallerDone = flow.isCallerDone || segment.isFinishing;
     if (segment.isReset || (flow.isCallerDone && flow.isUpstreamDone)) {
@@ -148,7 +151,7 @@
         return;
     }
     const auto clamp = [](size_t number) { return static_cast<uint16_t>(std::min<size_t>(number, UINT16_MAX)); };
-    const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit() : 0;
+    const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit(flow.service) : 0;
     actions.push_back(SendMessage { balancer, OpeningOutcome { flow, this->settings.address, result, clamp(this->waitingFlows), this->peers.self().slots, clamp(limit) } });
 }
 
