--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -15,6 +15,7 @@
     constexpr int placeOffers = 2; ///< Queues tried: the second where the first has filled since it was heard of.
     constexpr Duration loadAge = 30ms; ///< An upstream of 8 slots and 60 ms a request frees some four slots in that time.
     constexpr Duration loadMemory = 200ms; ///< Who was asked for the same opening is believed until the caller's first copy.
+    constexpr Duration expiryPeriod = 1s; ///< Looking through some thousands of openings at every tick took a tenth of the processor time.
     constexpr Duration idleAge = 10s; ///< An owner is forgotten when its flow was not used for so long.
     constexpr Duration avoidTime = 3s; ///< Heartbeats decide from then on.
     constexpr Duration askPeriod = 200ms;
@@ -59,7 +60,7 @@
 
 void OpeningTracker::begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions)
 {
-    opening = { .packet = std::move(forwarded), .begunAt = now, .lastUse = now };
+    opening = { .packet = std::move(forwarded), .begunAt = now, .lastUse = now, .isPending = opening.isPending };
     this->sortAvoided(opening.packet.candidates);
     this->offerNext(now, opening, actions);
 }
@@ -75,6 +76,9 @@
     if (AgentLoad* load = this->recentLoad(now, agent); load != nullptr) {
         ++load->busy; // Until its answer says otherwise.
     }
+    if (!std::exchange(opening.isPending, true)) {
+        this->pending.push_back(opening.packet.packet.flow);
+    }
     opening.target = agent;
     opening.offeredAt = now;
     ForwardedPacket packet = opening.packet;
@@ -172,8 +176,18 @@
 {
     const bool wasPaused = this->lastTick != TimePoint {} && now - this->lastTick > pauseThreshold;
     this->lastTick = now;
-    for (auto& [flow, opening] : this->openings) {
-        if (!opening.target.isValid() || now - opening.offeredAt < answerTimeout) {
+    for (const FlowKey& flow : std::exchange(this->pending, {})) {
+        const auto found = this->openings.find(flow);
+        if (found == this->openings.end()) {
+            continue;
+        }
+        Opening& opening = found->second;
+        opening.isPending = opening.target.isValid();
+        if (!opening.isPending) {
+            continue;
+        }
+        this->pending.push_back(flow);
+        if (now - opening.offeredAt < answerTimeout) {
             continue;
         }
         if (!wasPaused && !this->avoided.contains(opening.target)) {
@@ -184,7 +198,10 @@
         this->loads.erase(opening.target);
         this->offerNext(now, opening, actions);
     }
-    std::erase_if(this->openings, [now](const auto& entry) { return now - entry.second.lastUse >= idleAge; });
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryPeriod;
+        std::erase_if(this->openings, [now](const auto& entry) { return now - entry.second.lastUse >= idleAge; });
+    }
     std::erase_if(this->avoided, [now](const auto& entry) { return now >= entry.second.until; });
     std::erase_if(this->loads, [now](const auto& entry) { return now - entry.second.heard >= loadMemory; });
     std::vector<Address> asked;
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -67,6 +67,7 @@
         TimePoint begunAt {};
         TimePoint lastUse {};
         Address owner; ///< Not valid until an upstream has answered.
+        bool isPending = false; ///< Stands in the list of openings with an offer out.
         bool isPlaced = false; ///< The present offer is for a place in the queue.
         bool isFull = false; ///< Some agent's queue is full.
     };
@@ -95,6 +96,8 @@
     Counters& counters;
     EventSink& events;
     std::unordered_map<FlowKey, Opening> openings;
+    std::vector<FlowKey> pending; ///< Openings with an offer out; the next tick drops those that were answered.
+    TimePoint nextExpiry {};
     std::map<Address, Avoidance> avoided;
     std::map<Address, AgentLoad> loads;
     std::vector<RefusedOpening> refused;
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -95,21 +95,25 @@
         }
         this->metricsServer = std::move(*pages);
     }
-    this->ticker.start(tickPeriod, [this] {
-        Actions actions;
-        this->onTick(Process::now(), actions);
-        this->performAll(actions);
-    });
+    this->ticker.start(tickPeriod, [this] { this->tick(); });
     g_unix_signal_add(SIGTERM, &Process::onSignal, this);
     g_unix_signal_add(SIGINT, &Process::onSignal, this);
     g_unix_signal_add(SIGHUP, &Process::onHangup, this);
     logInfo("started", formatAddress(this->listen));
+    this->tick(); // The first questions to the store and to other processes do not wait for the timer.
     g_main_loop_run(this->loop);
     this->ticker.stop();
     logInfo("ended", concat("exit code ", static_cast<int>(this->code)));
     return this->code;
 }
 
+void Process::tick()
+{
+    Actions actions;
+    this->onTick(Process::now(), actions);
+    this->performAll(actions);
+}
+
 void Process::finish(ExitCode exitCode)
 {
     this->code = exitCode;
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -105,6 +105,7 @@
 private:
     static gboolean onSignal(gpointer self);
     static gboolean onHangup(gpointer self);
+    void tick();
     void onDatagram(Address from, std::span<const uint8_t> bytes);
 
     Address listen;
--- a/src/daemon/udp_socket.cpp
+++ b/src/daemon/udp_socket.cpp
@@ -19,8 +19,14 @@
 
 GSocketAddress* makeSocketAddress(Address address)
 {
-    const std::string text = formatAddress(address);
-    return g_inet_socket_address_new_from_string(text.substr(0, text.find(':')).c_str(), address.port);
+    std::array<guint8, 4> bytes {};
+    for (size_t index = 0; index < bytes.size(); ++index) {
+        bytes[index] = static_cast<guint8>(address.host >> (8 * (bytes.size() - 1 - index)));
+    }
+    GInetAddress* host = g_inet_address_new_from_bytes(bytes.data(), G_SOCKET_FAMILY_IPV4);
+    GSocketAddress* result = g_inet_socket_address_new(host, address.port);
+    g_object_unref(host);
+    return result;
 }
 
 Address fromSocketAddress(GSocketAddress* address)
