A balancer without rules repeats a read that is not answered

Change: while it has no rules a balancer makes the call once more after 150 ms, doubling; with rules nothing changes. The head start of the settings' seeds before the store is asked is gone: it was the rest of a failed try. Settings bind and clock/offset_ms: for processes behind address translation, and for tests of clocks. Test: Follower.WithoutRulesALostCallIsRepeatedSoon, seen failing with the repetition off; WithoutRulesALongOutageCostsFewCalls.

--- a/src/daemon/agent_main.cpp
+++ b/src/daemon/agent_main.cpp
@@ -42,17 +42,17 @@
     public:
         /** @param text The settings file, @param path where it was read. */
         AgentProcess(const AgentProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen, settings.metrics)
+            : Process(settings.bind, settings.metrics)
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
-            , agent({ settings.listen, settings.zone, settings.service, Process::makeIncarnation(), settings.slots }, this->random)
+            , agent({ settings.listen, settings.zone, settings.service, Process::makeIncarnation(settings.clockOffset), settings.slots }, this->random)
             , upstream(std::make_unique<HttpUpstream>(settings.upstreamUrl))
             , returnPath(std::make_unique<FabricReturnPath>(settings.returnPath))
         {
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
             }
         }
 
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -24,11 +24,11 @@
     public:
         /** @param text The settings file, @param path where it was read. */
         BalancerProcess(const BalancerProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen, settings.metrics)
+            : Process(settings.bind, settings.metrics)
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
-            , balancer({ settings.listen, settings.zone, Process::makeIncarnation() }, makeSteering(settings.steering, settings.zone), this->random)
+            , balancer({ settings.listen, settings.zone, Process::makeIncarnation(settings.clockOffset) }, makeSteering(settings.steering, settings.zone), this->random)
         {
             if (settings.fabricListen.isValid()) {
                 this->balancer.carryPackets(this->codec, this->events);
@@ -37,7 +37,7 @@
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
                 const StoreFollowerSettings followerSettings { settings.listen, settings.zone, settings.leaseTime, settings.readPeriod, settings.fleetReadPeriod };
                 this->follower = std::make_unique<StoreFollower>(*this->store, this->clock, this->random, followerSettings, *this);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
             }
         }
 
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -24,16 +24,16 @@
     class PacketAgentProcess final : public Process, public SeedFinder::Listener, public platform::ReportListener {
     public:
         PacketAgentProcess(const AgentProcessSettings& settings, std::string text, std::string path)
-            : Process(settings.listen, settings.metrics)
+            : Process(settings.bind, settings.metrics)
             , events(this->clock)
             , settings(settings)
             , settingsText(std::move(text))
             , settingsPath(std::move(path))
-            , agent({ .address = settings.listen, .zone = settings.zone, .service = settings.service, .incarnation = Process::makeIncarnation(), .slots = settings.slots, .reportPeriod = settings.reportPeriod, .startedAt = Process::now() }, this->codec, this->random, this->events)
+            , agent({ .address = settings.listen, .zone = settings.zone, .service = settings.service, .incarnation = Process::makeIncarnation(settings.clockOffset), .slots = settings.slots, .reportPeriod = settings.reportPeriod, .startedAt = Process::now() }, this->codec, this->random, this->events)
         {
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
-                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, settings.seeds.empty() ? Duration::zero() : seedHeadStart, *this);
+                this->seeds = std::make_unique<SeedFinder>(*this->store, this->clock, this->random, settings.zone, *this);
             }
             this->agent.onSeeds(settings.seeds);
         }
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -66,9 +66,9 @@
     g_main_loop_unref(this->loop);
 }
 
-uint64_t Process::makeIncarnation()
+uint64_t Process::makeIncarnation(Duration clockOffset)
 {
-    return static_cast<uint64_t>(g_get_real_time()) / 1000;
+    return static_cast<uint64_t>(g_get_real_time() + clockOffset.count()) / 1000;
 }
 
 ExitCode Process::run()
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -58,7 +58,7 @@
 /** The part of a daemon that talks to the outside; the decisions are its subclass's. */
 class Process {
 public:
-    /** @param metrics Where metrics are served; not valid: nowhere. */
+    /** @param listen What is bound, UDP and TCP. @param metrics Where metrics are served; not valid: nowhere. */
     Process(Address listen, Address metrics);
     virtual ~Process();
     Process(const Process&) = delete;
@@ -95,7 +95,7 @@
 
     static TimePoint now() { return MonotonicClock().now(); }
     /** Milliseconds since 1970: rises from one start of a process to its next. */
-    static uint64_t makeIncarnation();
+    static uint64_t makeIncarnation(Duration clockOffset);
 
     MonotonicClock clock;
     CerealEncapsulation encapsulation;
--- a/src/replay/node.cpp
+++ b/src/replay/node.cpp
@@ -56,7 +56,7 @@
     , random(seed)
     , balancer({ nodeAddress, nodeZone, static_cast<uint64_t>(toMilliseconds(queue.now())) + 1 }, makeSteering(steering, nodeZone), random)
     , follower(store, queue, random, { nodeAddress, nodeZone }, *this)
-    , seeds(store, queue, random, nodeZone, Duration::zero(), *this)
+    , seeds(store, queue, random, nodeZone, *this)
     , configured(std::move(configuredSeeds))
 {
 }
@@ -109,7 +109,7 @@
     , spec(std::move(nodeSpec))
     , random(spec.seed)
     , agent({ spec.address, spec.zone, spec.service, spec.incarnation, spec.slots, spec.isChaining }, random)
-    , seeds(store, queue, random, spec.zone, Duration::zero(), *this)
+    , seeds(store, queue, random, spec.zone, *this)
     , model(spec.slots, spec.coldTime, spec.isCold)
 {
 }
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -215,6 +215,12 @@
         return seeds;
     }
 
+    Address bindAddressOf(const SettingValues& values)
+    {
+        const Address bind = values.address("/bind");
+        return bind.isValid() ? bind : values.address("/listen");
+    }
+
 } // namespace
 
 absl::StatusOr<BalancerProcessSettings> parseBalancerSettings(std::string_view json)
@@ -225,6 +231,8 @@
     }
     return BalancerProcessSettings {
         .listen = values->address("/listen"),
+        .bind = bindAddressOf(*values),
+        .clockOffset = values->milliseconds("/clock/offset_ms"),
         .zone = values->text("/zone"),
         .storeUrl = values->text("/store/url"),
         .storeDialect = values->text("/store/dialect"),
@@ -254,6 +262,8 @@
     }
     return AgentProcessSettings {
         .listen = values->address("/listen"),
+        .bind = bindAddressOf(*values),
+        .clockOffset = values->milliseconds("/clock/offset_ms"),
         .zone = values->text("/zone"),
         .service = values->text("/service"),
         .upstreamUrl = values->text("/upstream/url"),
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -41,7 +41,9 @@
 
 /** What the balancer's process is told. */
 struct BalancerProcessSettings {
-    Address listen;
+    Address listen; ///< Where others reach the process.
+    Address bind; ///< What is bound for it.
+    Duration clockOffset {};
     std::string zone;
     std::string storeUrl; ///< Empty where there is none.
     std::string storeDialect; ///< "etcd" or "kv".
@@ -61,7 +63,9 @@
 
 /** What the agent's process is told. */
 struct AgentProcessSettings {
-    Address listen;
+    Address listen; ///< Where others reach the process.
+    Address bind; ///< What is bound for it.
+    Duration clockOffset {};
     std::string zone;
     std::string service;
     std::string upstreamUrl;
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -27,30 +27,20 @@
     return retryFloor + random.jitter(span);
 }
 
-SeedFinder::SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Duration firstDelay, Listener& listener)
+SeedFinder::SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Listener& listener)
     : store(store)
     , clock(clock)
     , random(random)
     , zone(std::move(zone))
-    , firstDelay(firstDelay)
     , listener(listener)
 {
 }
 
 void SeedFinder::tick()
 {
-    if (this->due == TimePoint {}) {
-        this->due = this->clock.now() + this->firstDelay;
-    }
     if (this->isBusy || this->clock.now() < this->due) {
         return;
     }
-    if (this->firstDelay > Duration::zero() && !this->hasListed && !this->listener.isAlone()) {
-        this->due = this->clock.now() + seedPeriod; // Others were met by the seeds of the settings.
-        this->hasListed = true;
-        return;
-    }
-    this->hasListed = true;
     this->isBusy = true;
     this->store.list(balancersPrefix, [this](const absl::StatusOr<std::vector<StoreValue>>& values) { this->onList(values); });
 }
@@ -113,7 +103,8 @@
         return;
     }
     const TimePoint now = this->clock.now();
-    if (!this->isReading && now >= this->readDue) {
+    const bool isRepeatDue = !this->listener.hasRules() && this->readRepeat.isDue(now);
+    if (this->readsOut == 0 ? now >= this->readDue : isRepeatDue) {
         this->readRules();
     }
     if (!this->isLeasing && now >= this->leaseDue) {
@@ -134,12 +125,19 @@
     return shared > Duration::zero() ? std::min(shared, this->settings.readPeriod) : this->settings.readPeriod;
 }
 
-/** Every balancer reads now and then, watch or not: the way out where gossip and watches fail. */
+/**
+ * Every balancer reads now and then, watch or not: the way out where gossip and watches fail. A balancer without rules serves
+ * nobody, so it does not wait for the time-out of a call that a store on its way back has lost.
+ */
 void StoreFollower::readRules()
 {
-    this->isReading = true;
+    this->readRepeat.onCall(this->clock.now(), this->readsOut == 0);
+    ++this->readsOut;
     this->store.read(rulesKey, [this](const absl::StatusOr<std::optional<StoreValue>>& value) {
-        this->isReading = false;
+        --this->readsOut;
+        if (!value.ok() && this->readsOut > 0) {
+            return; // A later call may still be answered.
+        }
         this->noteState(value.ok());
         this->readFailures = value.ok() ? 0 : this->readFailures + 1;
         if (value.ok() && value->has_value()) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -19,8 +19,6 @@
 /** Time before the next try of a failed store call: doubles up to 1.5 s, in a large fleet to more, with full jitter, so that a store that returns is not overrun. */
 Duration storeBackoff(Random& random, int failures, size_t balancers = 1);
 
-constexpr Duration seedHeadStart = 20ms; ///< For the seeds of the settings, before the store is asked for others.
-
 /** Lists the balancers that hold a lease, again and again. */
 class SeedFinder {
 public:
@@ -33,8 +31,7 @@
         virtual bool isAlone() const = 0;
     };
 
-    /** @param firstDelay Time that the seeds of the settings have before the store is asked. */
-    SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Duration firstDelay, Listener& listener);
+    SeedFinder(Store& store, const Clock& clock, Random& random, std::string zone, Listener& listener);
 
     void tick();
 
@@ -45,12 +42,29 @@
     const Clock& clock;
     Random& random;
     std::string zone;
-    Duration firstDelay;
     Listener& listener;
     TimePoint due {};
     int failures = 0;
     bool isBusy = false;
-    bool hasListed = false;
+};
+
+/** When a call without an answer is made once more, beside the first. */
+class CallRepeat {
+public:
+    /** @param isFirst False for a repetition. */
+    void onCall(TimePoint now, bool isFirst)
+    {
+        this->wait = isFirst ? firstWait : this->wait * 2;
+        this->due = now + this->wait;
+    }
+
+    bool isDue(TimePoint now) const { return now >= this->due; }
+
+private:
+    static constexpr Duration firstWait = 150ms; ///< A store that answers takes some milliseconds; doubled, a call in a fleet's outage costs three more.
+
+    Duration wait {};
+    TimePoint due {};
 };
 
 /** What a balancer is told of the store. */
@@ -111,7 +125,8 @@
     int readFailures = 0;
     int leaseFailures = 0;
     int watchFailures = 0;
-    bool isReading = false;
+    int readsOut = 0; ///< Reads of the rules without an answer yet.
+    CallRepeat readRepeat;
     bool isLeasing = false;
     bool isWatching = false;
     bool isUp = true;
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr SettingDescription listenSetting { "/listen", SettingKind::AddressText, "", true, 0, 0, "", "Address of this process, UDP and TCP; also its identity" };
+    constexpr SettingDescription bindSetting { "/bind", SettingKind::AddressText, "", false, 0, 0, "", "Address that is bound, where others reach this process through address translation; /listen where it is not given" };
+    constexpr SettingDescription clockSetting { "/clock/offset_ms", SettingKind::Number, "0", false, 0, 86'400'000, "", "Added to the time of day, which numbers the starts of a process; for tests of clocks that are wrong" };
     constexpr SettingDescription zoneSetting { "/zone", SettingKind::Name, "", true, 0, 0, "", "Availability zone that this process runs in" };
     constexpr SettingDescription storeSetting { "/store/url", SettingKind::Url, "", false, 0, 0, "", "Platform store; without it the process learns from its seeds only" };
     constexpr SettingDescription storeTimeoutSetting { "/store/timeout_ms", SettingKind::Number, "2000", false, 10, 60'000, "", "A store call without an answer fails after this time" };
@@ -20,6 +22,7 @@
 
     constexpr std::array balancerSettings {
         listenSetting,
+        bindSetting,
         zoneSetting,
         storeSetting,
         storeDialectSetting,
@@ -36,10 +39,12 @@
         metricsSetting,
         logFormatSetting,
         logLevelSetting,
+        clockSetting,
     };
 
     constexpr std::array agentSettings {
         listenSetting,
+        bindSetting,
         zoneSetting,
         SettingDescription { "/service", SettingKind::Name, "", true, 0, 0, "", "Service that the upstream belongs to" },
         SettingDescription { "/upstream/url", SettingKind::Url, "", false, 0, 0, "", "The upstream beside this agent, HTTP/1.1; required without /upstream/packets", false, {}, "/upstream/packets" },
@@ -61,6 +66,7 @@
         metricsSetting,
         logFormatSetting,
         logLevelSetting,
+        clockSetting,
     };
 
 } // namespace
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -146,6 +146,29 @@
     CHECK_TRUE(desk.store.writes - writes <= 66);
 }
 
+/** Pattern: a common restart just before a silent store returns. The first call is lost; nobody is served until one is answered. */
+TEST(Follower, WithoutRulesALostCallIsRepeatedSoon)
+{
+    Desk desk;
+    desk.write(rules);
+    desk.store.setDown(true);
+    desk.advance(100ms);
+    desk.store.setDown(false);
+    desk.advance(200ms);
+    CHECK(desk.listener.latest > 0);
+    const uint64_t reads = desk.store.reads;
+    desk.advance(10s);
+    CHECK(desk.store.reads - reads <= 2); // With rules there is no hurry.
+}
+
+TEST(Follower, WithoutRulesALongOutageCostsFewCalls)
+{
+    Desk desk;
+    desk.store.setDown(true);
+    desk.advance(10s);
+    CHECK(desk.store.reads <= 20);
+}
+
 TEST(Follower, ReturnOfTheStoreIsNotAStampede)
 {
     Desk desk;
