--- a/tools/lib/platform_standins.py
+++ b/tools/lib/platform_standins.py
@@ -71,6 +71,7 @@
             do_GET = do_POST = do_DELETE = answer
 
         self.server = ThreadingHTTPServer((host, port), Handler)
+        self.server.handle_error = lambda request, address: None  # Callers that were stopped leave broken connections.
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
