Dead flows are reset sooner after a loss of power

Three things blocked it: all others counted as known only 2 s after a balancer's agreement; one agent came back with its machine but without its upstream, and a search waited for a word that its upstream never gave; the machine vanished at 37.5 s, and a lost member blocks resets while it is suspected (7 s) and for 5 s more. Ruled out: the search budget (no SearchesLimited), the balancers (searches reached every agent). Change: an agent whose upstream has shown neither flow nor report since its start, and leaves three packets unanswered for 300 ms or is overdue, is sure that it holds nothing, says so (state vacant), is not asked, and its loss blocks nobody. All others count as known after 1 s: agents announce themselves each 100 ms until they are known.

--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -209,8 +209,9 @@
     const auto& all = this->peers.all();
     const auto lost = std::count_if(all.begin(), all.end(), [now, age](const auto& entry) {
         const Member& member = entry.second;
-        // Those that said goodbye were not lost.
-        return member.record.liveness == Liveness::Gone && member.record.state != MemberState::Draining && now - member.changed < age;
+        // Those that said goodbye were not lost, and with those that had no upstream no flow was.
+        const bool hadFlows = member.record.state != MemberState::Draining && member.record.state != MemberState::Vacant;
+        return member.record.liveness == Liveness::Gone && hadFlows && now - member.changed < age;
     });
     return static_cast<size_t>(lost);
 }
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -21,6 +21,7 @@
     Ready, ///< Carries its whole share.
     Shedding, ///< Refuses new work for now.
     Draining, ///< Leaves; takes no new flow.
+    Vacant, ///< An agent without an upstream: it holds no flow.
 };
 
 /** What the others hold of a member. Later values win over earlier ones of the same version. */
@@ -76,6 +77,8 @@
         return "shedding";
     case MemberState::Draining:
         return "draining";
+    case MemberState::Vacant:
+        return "vacant";
     }
     return "unknown";
 }
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr Duration answerTimeout = 150ms; ///< An upstream answers an opening packet in less than a millisecond.
+    constexpr size_t absenceProbes = 3; ///< A single one may be lost.
+    constexpr Duration absenceTime = 300ms;
     constexpr Duration longestSilence = 1900ms; ///< The address of an upstream that ended may be another's after 2 s.
     constexpr size_t queueLimitHalves = 5; ///< Requests at the upstream, in halves of its slots, where no goal or no time of work is known.
     constexpr size_t longestQueue = 4; ///< Requests at the upstream, in times of its slots, whatever the goal: upstreams give back what is beyond that.
@@ -27,6 +29,19 @@
     return now - heard >= std::min(this->settings.reportPeriod * 5 / 2, longestSilence);
 }
 
+/**
+ * True where the upstream has shown no flow and sent no report since this process began, although it gave no answer to packets
+ * or its report is overdue: there is none. One that lives gives back an unknown flow's packet in less than a millisecond.
+ */
+bool PacketAgent::isUpstreamAbsent(TimePoint now) const
+{
+    if (this->latestReport || this->hasUpstreamSpoken) {
+        return false;
+    }
+    const bool isDeaf = this->lastUpstreamPacket == TimePoint {} && this->unansweredProbes >= absenceProbes && now - this->firstProbeAt >= absenceTime;
+    return isDeaf || now - this->settings.startedAt >= std::min(this->settings.reportPeriod * 5 / 2, longestSilence);
+}
+
 PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now) const
 {
     const Configuration& configuration = this->follower.current();
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -168,14 +168,16 @@
 
 bool PacketAgent::mayHoldUnknown(TimePoint now) const
 {
-    return now - this->settings.startedAt < this->settings.flowAge && !this->beganWithUpstream();
+    return now - this->settings.startedAt < this->settings.flowAge && !this->beganWithUpstream() && !this->isUpstreamAbsent(now);
 }
 
 void PacketAgent::refreshSelf(TimePoint now)
 {
     const Obstacle obstacle = this->obstacle(now);
     MemberState state = MemberState::Ready;
-    if (obstacle == Obstacle::Stopping || obstacle == Obstacle::Draining) {
+    if (this->isUpstreamAbsent(now)) {
+        state = MemberState::Vacant;
+    } else if (obstacle == Obstacle::Stopping || obstacle == Obstacle::Draining) {
         state = MemberState::Draining;
     } else if (obstacle == Obstacle::Silent || obstacle == Obstacle::OtherService) {
         state = MemberState::Shedding;
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -120,6 +120,7 @@
     // packet_admission.cpp
     static std::string_view toText(Obstacle obstacle);
     bool isUpstreamSilent(TimePoint now) const;
+    bool isUpstreamAbsent(TimePoint now) const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
     size_t queueLimit(Address service) const;
@@ -146,6 +147,7 @@
 
     // packet_search.cpp
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    std::set<Address> peersWithFlows() const;
     void askPeers(const FlowKey& flow, const Search& search, Actions& actions);
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
@@ -187,6 +189,9 @@
     TimePoint firstReportAt {};
     TimePoint lastUpstreamPacket {};
     TimePoint unansweredSince {}; ///< First opening packet that the upstream has not answered; zero where there is none.
+    size_t unansweredProbes = 0; ///< Until the upstream's first sign of life.
+    TimePoint firstProbeAt {};
+    bool hasUpstreamSpoken = false; ///< Sent a packet of its own since this process began, not only callers' back.
     bool hasSaidGoodbye = false;
     bool isStopping = false;
     bool wasZoneDraining = false;
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -27,6 +27,7 @@
 void PacketAgent::handleFromUpstream(TimePoint now, const Segment& segment, std::span<const uint8_t> packet, Actions& actions)
 {
     const FlowKey key = segment.flowOfUpstream();
+    this->hasUpstreamSpoken = true;
     const auto [found, isUnknown] = this->flows.try_emplace(key);
     PacketFlow& flow = found->second;
     flow.lastPacket = now;
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -208,6 +208,7 @@
     flow.offeredAt = now;
     flow.asker = forwarded.asker;
     this->count.add(Counter::FlowsProbed);
+    this->firstProbeAt = this->unansweredProbes++ == 0 ? now : this->firstProbeAt;
     this->deliver(now, flow, segment, forwarded.packet.payload, actions);
 }
 
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     constexpr size_t maximumSearches = 1024;
-    constexpr Duration acquaintanceTime = 2s; ///< With a balancer in agreement for so long, an agent knows all others.
+    constexpr Duration acquaintanceTime = 1s; ///< With a balancer in agreement for so long, an agent knows all others: they announce themselves each 100 ms until they are known.
     constexpr Duration lossMemory = 5s; ///< A member declared gone that lately may be back with the flow; later its callers have given it up.
 
 } // namespace
@@ -30,14 +30,24 @@
     search.packet = forwarded;
     search.begun = now;
     search.asked = now;
-    for (const MemberRecord& peer : this->peers.others()) {
-        search.waiting.insert(peer.address);
-    }
+    search.waiting = this->peersWithFlows();
     this->events.note(EventLevel::Info, "flow-searched", { { "flow", formatFlow(key) }, { "hops", std::to_string(forwarded.hops) }, { "peers", std::to_string(this->peers.others().size()) } });
     this->askPeers(key, search, actions);
     this->endRound(now, FlowKey(key), actions);
 }
 
+/** Agents without an upstream hold no flow; one that vanishes would keep every search waiting. */
+std::set<Address> PacketAgent::peersWithFlows() const
+{
+    std::set<Address> result;
+    for (const MemberRecord& peer : this->peers.others()) {
+        if (peer.state != MemberState::Vacant) {
+            result.insert(peer.address);
+        }
+    }
+    return result;
+}
+
 void PacketAgent::askPeers(const FlowKey& flow, const Search& search, Actions& actions)
 {
     for (Address peer : search.waiting) {
@@ -112,9 +122,7 @@
     search.isSecondRound = true;
     search.asked = now;
     search.probed.clear();
-    for (const MemberRecord& peer : this->peers.others()) {
-        search.waiting.insert(peer.address);
-    }
+    search.waiting = this->peersWithFlows();
     this->askPeers(flow, search, actions);
 }
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -77,7 +77,7 @@
     transferList(archive, record.zone, maximumNameBytes);
     transferList(archive, record.service, maximumNameBytes);
     archive(record.incarnation, record.version);
-    transferEnum(archive, record.state, MemberState::Draining);
+    transferEnum(archive, record.state, MemberState::Vacant);
     transferEnum(archive, record.liveness, Liveness::Gone);
     archive(record.slots, record.weight);
 }
