--- a/tools/lib/soak/promises.py
+++ b/tools/lib/soak/promises.py
@@ -100,16 +100,21 @@
         """A packet of a flow reached an upstream that does not hold it."""
         now = self.clock()
         owner = self.owners.get(flow)
-        if owner is None or not self.is_alive(owner) or owner[0] is upstream:
+        if not self.is_kept(flow) or owner[0] is upstream:
             return
         strays = self.foreign[flow] = [entry for entry in self.foreign[flow] if now - entry < REORDER_SECONDS] + [now]
         machines = (upstream.machine, owner[0].machine)
         if len(strays) >= 3 and now - self.own[flow] >= REORDER_SECONDS and (is_planned or all(self.in_touch(machine) for machine in machines)):
             self.fail("flow", f"{len(strays)} packets of {flow} reached others, the last {upstream.name}, and none {owner[0].name}, which holds it")
 
-    def is_alive(self, owner):
-        upstream, lifetime, since = owner
-        return upstream.is_up and upstream.lifetime == lifetime and self.clock() - since < FLOW_SECONDS
+    def is_kept(self, flow):
+        """True where the flow is open at a living upstream, and no configuration has dropped its route since."""
+        if flow not in self.owners:
+            return False
+        upstream, lifetime, since = self.owners[flow]
+        oldest = since - CONFIGURATION_SECONDS - STORE_SECONDS  # A balancer may have opened it under an older version.
+        is_dropped = any(when >= oldest and service is None for when, _, service in self.routes[flow[1]])
+        return upstream.is_up and upstream.lifetime == lifetime and self.clock() - since < FLOW_SECONDS and not is_dropped
 
     def on_run(self, upstream, request, sent):
         before = self.runs.setdefault(request, upstream.name)
@@ -123,13 +128,13 @@
     def on_reset(self, flow):
         owner = self.owners.get(flow)
         self.counts["resets"] += 1
-        if owner is not None and self.is_alive(owner) and flow in owner[0].flows and not owner[0].has_reset(flow) and self.in_touch(owner[0].machine):
+        if self.is_kept(flow) and flow in owner[0].flows and not owner[0].has_reset(flow) and self.in_touch(owner[0].machine):
             self.fail("flow", f"the open flow {flow} was reset while {owner[0].name} holds it")
 
     def on_silence(self, flow, begun):
         """A request in an open flow got no answer before its deadline."""
         owner = self.owners.get(flow)
-        if owner is not None and self.is_alive(owner) and flow in owner[0].flows and begun > self.unplanned_until + CONTACT_SECONDS:
+        if self.is_kept(flow) and flow in owner[0].flows and begun > self.unplanned_until + CONTACT_SECONDS:
             self.fail("flow", f"a request in {flow} got no answer from {begun:.3f} s on while {owner[0].name} holds it and nothing unplanned happened")
 
     def on_answer(self, request, answer):
