--- a/tools/lib/soak/promises.py
+++ b/tools/lib/soak/promises.py
@@ -132,9 +132,9 @@
             self.fail("flow", f"the open flow {flow} was reset while {owner[0].name} holds it")
 
     def on_silence(self, flow, begun):
-        """A request in an open flow got no answer before its deadline."""
+        """A request in an open flow got no answer before its deadline. The agent beside its upstream was there all the while."""
         owner = self.owners.get(flow)
-        if self.is_kept(flow) and flow in owner[0].flows and begun > self.unplanned_until + CONTACT_SECONDS:
+        if self.is_kept(flow) and flow in owner[0].flows and begun > owner[0].machine.troubled_until and begun > self.unplanned_until + CONTACT_SECONDS:
             self.fail("flow", f"a request in {flow} got no answer from {begun:.3f} s on while {owner[0].name} holds it and nothing unplanned happened")
 
     def on_answer(self, request, answer):
