An opening whose last copy finds all queues full is refused at once

Cause: a caller whose three copies met full queues heard nothing until its own time-out, 0.8 s after the last one: given up, and not told. Ruled out: resetting earlier copies (the next one may find room); resetting where another balancer saw a copy, or an agent left an offer unanswered (the flow may be open there): silence stays then. Tests: OpeningTracker.WhatFindsNoPlaceByAnyCopy..., NothingIsGivenUpThatMayBeOpenSomewhere.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -83,7 +83,8 @@
     if (this->openings != nullptr) {
         forwarded.balancer = this->settings.address;
         if (packet.mark == PacketMark::Opening) {
-            this->openings->open(now, std::move(forwarded), actions);
+            const std::optional<Segment> segment = this->codec->parse(packet.payload);
+            this->openings->open(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions);
             this->refuseOpenings(now, actions);
             return;
         }
@@ -93,11 +94,15 @@
     actions.push_back(SendMessage { first, std::move(forwarded) });
 }
 
-/** Full queues are met by silence: the caller's next copy, a fifth of a second later, may find room. */
+/** Full queues are met by silence while the caller's next copy may find room; behind the last one nothing would come. */
 void Balancer::refuseOpenings(TimePoint now, Actions& actions)
 {
     for (const RefusedOpening& opening : this->openings->takeRefused()) {
-        if (opening.isFull) {
+        if (opening.isHopeless) {
+            this->count.add(Counter::FlowsRefused);
+            this->events->note(EventLevel::Info, "flow-refused", { { "flow", formatFlow(opening.packet.flow) }, { "reason", "queues_full" }, { "copies", std::to_string(lastOpeningCopy + 1) }, { "reset", "true" } });
+            pushToCaller(actions, opening.packet.flow, this->codec->makeReset(opening.packet.flow, 0));
+        } else if (opening.isFull) {
             this->count.add(Counter::OpeningsDeferred);
             this->events->note(EventLevel::Info, "opening-deferred", { { "flow", formatFlow(opening.packet.flow) }, { "reason", "queues_full" } });
         } else {
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -1,6 +1,8 @@
 /** @file opening_tracker.cpp Offers, their answers, and agents that leave them unanswered. */
 #include "balancer/opening_tracker.h"
 
+#include "packet/segment_base.h"
+
 #include <algorithm>
 #include <bit>
 #include <string>
@@ -44,7 +46,7 @@
     list.insert(list.begin(), found->second.owner);
 }
 
-void OpeningTracker::open(TimePoint now, ForwardedPacket forwarded, Actions& actions)
+void OpeningTracker::open(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions)
 {
     Opening& opening = this->openings[forwarded.packet.flow];
     opening.lastUse = now;
@@ -55,12 +57,12 @@
     if (opening.target.isValid()) {
         return; // A copy, while an agent still has the offer.
     }
-    this->begin(now, opening, std::move(forwarded), actions);
+    this->begin(now, opening, std::move(forwarded), copy, actions);
 }
 
-void OpeningTracker::begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions)
+void OpeningTracker::begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, Actions& actions)
 {
-    opening = { .packet = std::move(forwarded), .begunAt = now, .lastUse = now, .isPending = opening.isPending };
+    opening = { .packet = std::move(forwarded), .begunAt = now, .lastUse = now, .isPending = opening.isPending, .copy = copy, .copiesRefused = copy == 0 ? 0 : opening.copiesRefused, .wasUnanswered = copy != 0 && opening.wasUnanswered };
     this->sortAvoided(opening.packet.candidates);
     this->offerNext(now, opening, actions);
 }
@@ -145,8 +147,18 @@
     if (!opening.isPlaced && this->askForSlot(now, opening, actions)) {
         return; // Nobody has a queue so far: the others too.
     }
+    this->refuse(opening);
+}
+
+void OpeningTracker::refuse(Opening& opening)
+{
+    constexpr uint32_t allCopies = (1U << (lastOpeningCopy + 1)) - 1;
     opening.target = {};
-    this->refused.push_back({ opening.packet.packet, opening.isFull });
+    if (opening.isFull && opening.copy <= lastOpeningCopy) {
+        opening.copiesRefused |= 1U << opening.copy;
+    }
+    const bool isHopeless = opening.isFull && opening.copiesRefused == allCopies && !opening.wasUnanswered;
+    this->refused.push_back({ opening.packet.packet, opening.isFull, isHopeless });
 }
 
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
@@ -196,6 +208,7 @@
             this->events.note(EventLevel::Info, "agent-avoided", { { "agent", formatAddress(opening.target) }, { "flow", formatFlow(flow) }, { "unanswered_ms", std::to_string(toMilliseconds(now - opening.offeredAt)) } });
         }
         this->loads.erase(opening.target);
+        opening.wasUnanswered = true;
         this->offerNext(now, opening, actions);
     }
     if (now >= this->nextExpiry) {
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -18,6 +18,7 @@
 struct RefusedOpening {
     FlowPacket packet;
     bool isFull = false; ///< Some agent would take it later: its queue is full now.
+    bool isHopeless = false; ///< So it was for every copy that its caller sends, all seen here, and no offer was left unanswered.
 };
 
 /**
@@ -35,8 +36,8 @@
     {
     }
 
-    /** Offers an opening packet, or a copy of one, to its candidates. */
-    void open(TimePoint now, ForwardedPacket forwarded, Actions& actions);
+    /** Offers an opening packet, or a copy of one, to its candidates. @param copy Copies that its caller sent before. */
+    void open(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions);
 
     /** Puts the candidates of any other packet in the order in which they are to be asked. */
     void arrange(TimePoint now, ForwardedPacket& forwarded);
@@ -70,6 +71,9 @@
         bool isPending = false; ///< Stands in the list of openings with an offer out.
         bool isPlaced = false; ///< The present offer is for a place in the queue.
         bool isFull = false; ///< Some agent's queue is full.
+        uint32_t copy = 0; ///< Copies that the caller had sent before this one.
+        uint32_t copiesRefused = 0; ///< Those that found all queues full, a bit for each.
+        bool wasUnanswered = false; ///< An agent said nothing to an offer; it may have taken it.
     };
 
     /** What an agent said last, and what it was offered since. */
@@ -85,7 +89,8 @@
         TimePoint asked {};
     };
 
-    void begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, Actions& actions);
+    void begin(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, Actions& actions);
+    void refuse(Opening& opening);
     void offerNext(TimePoint now, Opening& opening, Actions& actions);
     bool askForSlot(TimePoint now, Opening& opening, Actions& actions);
     bool askForPlace(TimePoint now, Opening& opening, Actions& actions);
--- a/src/packet/segment_base.h
+++ b/src/packet/segment_base.h
@@ -9,6 +9,8 @@
 
 namespace lavender {
 
+constexpr uint32_t lastOpeningCopy = 2; ///< Callers send an opening packet and, unanswered, two copies of it.
+
 /** The header of one packet of a flow; the data behind it belongs to the two ends. */
 struct Segment {
     Address source; ///< The end that wrote the packet.
--- a/tests/opening_tracker_test.cpp
+++ b/tests/opening_tracker_test.cpp
@@ -24,11 +24,11 @@
         }
     }
 
-    void open(uint16_t port)
+    void open(uint16_t port, uint32_t copy = 0)
     {
         this->actions.clear();
         ForwardedPacket forwarded { .packet = { .flow = { caller(port), packetService }, .mark = PacketMark::Opening, .payload = { 1 } }, .candidates = this->agents };
-        this->tracker.open(this->now, std::move(forwarded), this->actions);
+        this->tracker.open(this->now, std::move(forwarded), copy, this->actions);
     }
 
     /** An agent of two slots and five places in all answers. @param queue Requests beyond the slots, where it is busy. */
@@ -224,3 +224,45 @@
     scene.answer(1, scene.agents[1], OpeningResult::Full);
     CHECK(scene.tracker.takeRefused().front().isFull);
 }
+
+/** Pattern: overload. Behind the last copy nothing comes: its caller need not wait for its own time-out to try again. */
+TEST(OpeningTracker, WhatFindsNoPlaceByAnyCopyIsGivenUpAtOnce)
+{
+    OfferScene scene(1);
+    for (uint32_t copy = 0; copy <= 2; ++copy) {
+        scene.open(1, copy);
+        scene.answer(1, scene.agents[0], OpeningResult::Full);
+        const auto refused = scene.tracker.takeRefused();
+        CHECK_EQUAL(1, refused.size());
+        CHECK_EQUAL(copy == 2, refused.front().isHopeless);
+        scene.advance(200ms);
+    }
+    scene.open(1); // A new attempt from the same port begins anew.
+    scene.answer(1, scene.agents[0], OpeningResult::Full);
+    CHECK_FALSE(scene.tracker.takeRefused().front().isHopeless);
+}
+
+/** Another balancer may have placed a copy that this one did not see, and a silent agent may have taken its offer. */
+TEST(OpeningTracker, NothingIsGivenUpThatMayBeOpenSomewhere)
+{
+    OfferScene scene(1);
+    for (uint32_t copy = 1; copy <= 2; ++copy) {
+        scene.open(1, copy);
+        scene.answer(1, scene.agents[0], OpeningResult::Full);
+        CHECK_FALSE(scene.tracker.takeRefused().front().isHopeless);
+        scene.advance(200ms);
+    }
+    OfferScene silent(2);
+    for (uint32_t copy = 0; copy <= 2; ++copy) {
+        silent.open(1, copy);
+        if (copy == 0) {
+            silent.advance(70ms);
+        }
+        silent.answer(1, silent.agents[0], OpeningResult::Full);
+        silent.answer(1, silent.agents[1], OpeningResult::Full);
+        for (const RefusedOpening& refused : silent.tracker.takeRefused()) {
+            CHECK_FALSE(refused.isHopeless);
+        }
+        silent.advance(200ms);
+    }
+}
