Balancers on both sides of a cut meet again

Each side came to hold agents gone that announce themselves to the other; an agent that heard both sides searched among four of six others, heard no from all, and reset an open flow. Ruled out: the shorter acquaintance time (both had known all others for 30 s), vacant agents (none), resets of upstreams (none). Tests: Gossip.BothSidesOfACutMeetAgain (fails with the asking switched off), AnAgentThatWasJustHeardIsNotHeldGone.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -44,6 +44,7 @@
 {
     this->codec = &packetCodec;
     this->events = &eventSink;
+    this->members.noteTo(eventSink);
     this->openings = std::make_unique<OpeningTracker>(this->count, eventSink);
 }
 
--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <bit>
+#include <optional>
+#include <string>
+#include <utility>
 
 namespace lavender {
 
@@ -16,8 +19,7 @@
     constexpr Duration probeTimeout = 300ms;
     constexpr int probeTries = 4;
     constexpr Duration suspicionTime = 2500ms; ///< A suspect has this long to refute.
-    constexpr Duration heartbeatNudge = 1500ms; ///< An agent silent for this long is asked to announce itself.
-    constexpr Duration heartbeatTimeout = 3s;
+    constexpr Duration rejoinPeriod = 500ms; ///< One balancer that is held gone is asked this often; a cut of 10 balancers heals in seconds.
     constexpr Duration adoptionPeriod = 5s;
     constexpr Duration comparisonPeriod = 1s;
     constexpr Duration pauseThreshold = 1s; ///< A tick this late means that the process stood still.
@@ -61,9 +63,14 @@
 
 bool GossipSystem::apply(TimePoint now, const MemberRecord& record)
 {
+    const Member* before = this->members.find(record.address);
+    const std::optional<Liveness> livenessBefore = before == nullptr ? std::nullopt : std::optional(before->record.liveness);
     if (!this->members.merge(now, record)) {
         return false;
     }
+    if (this->events != nullptr && livenessBefore != record.liveness) {
+        this->events->note(EventLevel::Info, "member-changed", { { "member", formatAddress(record.address) }, { "liveness", std::string(toString(record.liveness)) }, { "before", livenessBefore ? std::string(toString(*livenessBefore)) : "unknown" }, { "state", std::string(toString(record.state)) }, { "version", std::to_string(record.version) }, { "incarnation", std::to_string(record.incarnation) } });
+    }
     const auto doublings = static_cast<int>(std::bit_width(this->members.all().size()));
     this->spreading[record.address].remaining = spreadFactor * (doublings + 1);
     if (record.liveness == Liveness::Gone) {
@@ -95,6 +102,10 @@
     if (isUnknown && record.liveness == Liveness::Gone) {
         return false;
     }
+    if (record.liveness != Liveness::Alive && this->wasJustHeard(now, record.address)) {
+        this->disputed[record.address] = record; // The agent itself refutes it; believed here, its flows would be taken for lost meanwhile.
+        return false;
+    }
     if (!this->apply(now, record)) {
         return false;
     }
@@ -212,61 +223,29 @@
     }
 }
 
-void GossipSystem::onHeartbeat(TimePoint now, Address agent)
-{
-    this->heartbeats[agent] = now;
-}
-
-void GossipSystem::checkAgents(TimePoint now, Actions& actions)
-{
-    std::vector<Address> silent;
-    for (const auto& [agent, heard] : this->heartbeats) {
-        const Member* member = this->members.find(agent);
-        if (member == nullptr || member->record.liveness != Liveness::Alive) {
-            continue;
-        }
-        if (now - heard >= heartbeatTimeout) {
-            silent.push_back(agent);
-        } else if (now - heard >= heartbeatNudge) {
-            const MemberRecord& record = member->record;
-            actions.push_back(SendMessage { agent, AnnounceReply { .balancer = this->own.address, .knownIncarnation = record.incarnation, .knownVersion = record.version, .isNudge = true } });
-        }
-    }
-    for (Address agent : silent) {
-        this->heartbeats.erase(agent);
-        MemberRecord record = this->members.find(agent)->record;
-        record.liveness = Liveness::Suspect;
-        this->apply(now, record);
-        this->counters.add(Counter::MembersSuspected);
-    }
-}
-
 /**
- * Watches agents that nobody may watch: those for which this balancer ranks first among the balancers of their zone, or
- * among all where the zone has lost its balancers. Without it the agents of a lost zone would stay alive for ever.
+ * After a cut both sides hold each other gone, and nobody probes who is gone. Whoever is asked so hears what is held of it and
+ * refutes that; its answer tells the asker the same.
  */
-void GossipSystem::adoptAgents(TimePoint now)
+void GossipSystem::askGone(TimePoint now, Revision revision, Actions& actions)
 {
-    std::map<std::string, std::vector<Address>, std::less<>> byZone;
-    std::vector<Address> everyone = this->balancers("");
-    everyone.push_back(this->own.address);
-    for (Address balancer : everyone) {
-        byZone[this->members.find(balancer)->record.zone].push_back(balancer);
-    }
-    for (const auto& [known, member] : this->members.all()) {
-        const Address address = known;
-        if (member.record.role != MemberRole::Agent || member.record.liveness != Liveness::Alive || this->heartbeats.contains(address)) {
-            continue;
-        }
-        const auto zone = byZone.find(member.record.zone);
-        const std::vector<Address>& rivals = zone == byZone.end() ? everyone : zone->second;
-        const uint64_t rank = hashPair(this->own.address.packed(), address.packed());
-        const bool isMine = std::find(rivals.begin(), rivals.end(), this->own.address) != rivals.end()
-            && std::all_of(rivals.begin(), rivals.end(), [&](Address rival) { return hashPair(rival.packed(), address.packed()) <= rank; });
-        if (isMine) {
-            this->heartbeats[address] = now;
+    if (now < this->nextRejoin) {
+        return;
+    }
+    this->nextRejoin = now + rejoinPeriod;
+    std::vector<MemberRecord> gone;
+    for (const auto& [address, member] : this->members.all()) {
+        const bool saidGoodbye = member.record.state == MemberState::Draining;
+        if (member.record.role == MemberRole::Balancer && member.record.liveness == Liveness::Gone && !saidGoodbye && address != this->own.address) {
+            gone.push_back(member.record);
         }
     }
+    if (gone.empty()) {
+        return;
+    }
+    const MemberRecord& target = gone[this->random.below(static_cast<uint32_t>(gone.size()))];
+    Gossip gossip { .sender = this->own.address, .sequence = this->nextSequence++, .revision = revision, .digest = this->members.digest(), .records = { this->own, target } };
+    actions.push_back(SendMessage { target.address, std::move(gossip) });
 }
 
 void GossipSystem::tick(TimePoint now, Revision revision, Actions& actions)
@@ -275,6 +254,8 @@
     this->checkProbes(now, revision, actions);
     this->checkSuspects(now);
     this->checkAgents(now, actions);
+    this->askGone(now, revision, actions);
+    this->askDisputed(actions);
     if (now >= this->nextAdoption) {
         this->nextAdoption = now + adoptionPeriod;
         this->adoptAgents(now);
@@ -371,15 +352,6 @@
     }
 }
 
-std::vector<Address> GossipSystem::watchedAgents() const
-{
-    std::vector<Address> agents;
-    for (const auto& [agent, heard] : this->heartbeats) {
-        agents.push_back(agent);
-    }
-    return agents;
-}
-
 void GossipSystem::leave(TimePoint now, Revision revision, Actions& actions)
 {
     this->own.version += 1;
--- a/src/member/gossip_base.h
+++ b/src/member/gossip_base.h
@@ -3,6 +3,7 @@
 
 #include "core/action_type.h"
 #include "core/counter_type.h"
+#include "core/event_base.h"
 #include "core/random_base.h"
 #include "member/member_table.h"
 
@@ -22,6 +23,9 @@
 public:
     GossipSystem(MemberRecord self, Random& random, Counters& counters);
 
+    /** Where changes of belief are noted; nowhere without it. */
+    void noteTo(EventSink& sink) { this->events = &sink; }
+
     /** Balancers to ask first; known ones are passed over. */
     void addSeeds(std::span<const Address> seeds, Revision revision, Actions& actions);
 
@@ -75,15 +79,21 @@
     void checkSuspects(TimePoint now);
     void checkAgents(TimePoint now, Actions& actions);
     void adoptAgents(TimePoint now);
+    void askGone(TimePoint now, Revision revision, Actions& actions);
+    void askDisputed(Actions& actions);
+    bool wasJustHeard(TimePoint now, Address agent) const;
     void compareDigest(TimePoint now, const Gossip& gossip, Actions& actions);
 
     MemberRecord own;
     Random& random;
     Counters& counters;
+    EventSink* events = nullptr;
     MemberTable members;
     std::map<Address, Spread> spreading;
     std::map<Address, Probe> probes;
     std::map<Address, TimePoint> heartbeats; ///< Agents watched here and when they were last heard.
+    std::map<Address, MemberRecord> disputed; ///< Agents heard here that others hold suspect or gone, as those say.
+    TimePoint nextRejoin {};
     uint32_t nextSequence = 1;
     TimePoint lastTick {};
     TimePoint judgeAfter {}; ///< No suspect is declared gone before this.
--- a/src/replay/gossip_fleet.h
+++ b/src/replay/gossip_fleet.h
@@ -57,6 +57,9 @@
             const auto& send = std::get<SendMessage>(waiting.front());
             this->bytes += encodeMessage(send.message).size();
             const size_t to = send.to.host - 0x0a630001;
+            if (this->isCut(send, to)) {
+                continue;
+            }
             if (to >= this->nodes.size() || this->isStopped[to] || this->random.chance(this->loss)) {
                 continue;
             }
@@ -80,6 +83,19 @@
         return count;
     }
 
+    /** True where the cut, if there is one, lies between sender and receiver. */
+    bool isCut(const SendMessage& send, size_t to) const
+    {
+        const auto* gossip = std::get_if<Gossip>(&send.message);
+        const auto* exchange = std::get_if<DigestExchange>(&send.message);
+        if (gossip == nullptr && exchange == nullptr) {
+            return false;
+        }
+        const size_t from = (gossip != nullptr ? gossip->sender : exchange->sender).host - 0x0a630001;
+        return (from < this->cutAt) != (to < this->cutAt);
+    }
+
+    size_t cutAt = 0; ///< Nodes below it do not reach the others; 0: no cut.
     TimePoint now { 1s };
     SeededRandom random;
     uint32_t loss;
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -3,6 +3,8 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lavender;
@@ -145,3 +147,42 @@
     CHECK_TRUE(large <= small + small / 10);
     CHECK_TRUE(2 * large <= 4096); // Sent and received.
 }
+
+/** Seen on a hunted day: after a cut of five seconds balancers on both sides held each other gone for the rest of the day. */
+TEST(Gossip, BothSidesOfACutMeetAgain)
+{
+    GossipFleet fleet(10, 20'000);
+    fleet.advance(3s);
+    fleet.cutAt = 4;
+    fleet.advance(10s);
+    CHECK(fleet.countSeeing(0, Liveness::Gone) >= 5);
+    CHECK(fleet.countSeeing(9, Liveness::Gone) >= 3);
+    fleet.cutAt = 0;
+    fleet.advance(5s);
+    for (uint32_t index = 0; index < 10; ++index) {
+        CHECK_EQUAL(10U, fleet.countSeeing(index, Liveness::Alive));
+    }
+}
+
+/** What the other side of a cut believed must not make flows look lost: the agent refutes it. */
+TEST(Gossip, AnAgentThatWasJustHeardIsNotHeldGone)
+{
+    GossipFleet fleet(2, 0);
+    MemberRecord agent { .address = { 0x0a620001, 7000 }, .role = MemberRole::Agent, .zone = "b", .service = "orders", .incarnation = 1, .version = 4 };
+    GossipSystem& node = *fleet.nodes[0];
+    node.learn(fleet.now, agent);
+    node.onHeartbeat(fleet.now, agent.address);
+    MemberRecord claim = agent;
+    claim.liveness = Liveness::Gone;
+    CHECK_FALSE(node.learn(fleet.now, claim));
+    CHECK(node.table().find(agent.address)->record.liveness == Liveness::Alive);
+    Actions actions;
+    node.tick(fleet.now, 0, actions);
+    const auto nudge = std::find_if(actions.begin(), actions.end(), [](const Action& action) {
+        const auto* send = std::get_if<SendMessage>(&action);
+        const auto* reply = send == nullptr ? nullptr : std::get_if<AnnounceReply>(&send->message);
+        return reply != nullptr && reply->isNudge && reply->knownLiveness == Liveness::Gone;
+    });
+    CHECK(nudge != actions.end());
+    CHECK(node.learn(fleet.now + 10s, claim)); // Not heard for long: the others are right.
+}
