An upstream is absent only when two of its reports are overdue

Cause: read once more: with reports every 3 s an agent restarted beside a living upstream would have called it absent after 1.9 s, before its first report, and denied its flows. That bound is for addresses that may be used again, not for this.

--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -39,7 +39,7 @@
         return false;
     }
     const bool isDeaf = this->lastUpstreamPacket == TimePoint {} && this->unansweredProbes >= absenceProbes && now - this->firstProbeAt >= absenceTime;
-    return isDeaf || now - this->settings.startedAt >= std::min(this->settings.reportPeriod * 5 / 2, longestSilence);
+    return isDeaf || now - this->settings.startedAt >= this->settings.reportPeriod * 5 / 2;
 }
 
 PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now) const
