--- a/src/member/gossip.cpp
+++ b/src/member/gossip.cpp
@@ -102,7 +102,9 @@
     if (isUnknown && record.liveness == Liveness::Gone) {
         return false;
     }
-    if (record.liveness != Liveness::Alive && this->wasJustHeard(now, record.address)) {
+    // Others can hold against a member only the version that it gave itself; a goodbye comes with a new one.
+    const bool isClaim = record.liveness != Liveness::Alive && !isUnknown && record.incarnation == before->record.incarnation && record.version == before->record.version;
+    if (isClaim && this->wasJustHeard(now, record.address)) {
         this->disputed[record.address] = record; // The agent itself refutes it; believed here, its flows would be taken for lost meanwhile.
         return false;
     }
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -186,3 +186,17 @@
     CHECK(nudge != actions.end());
     CHECK(node.learn(fleet.now + 10s, claim)); // Not heard for long: the others are right.
 }
+
+/** An agent that leaves says so itself, by a version that nobody else can give it. */
+TEST(Gossip, AnAgentsOwnGoodbyeIsBelieved)
+{
+    GossipFleet fleet(1, 0);
+    MemberRecord agent { .address = { 0x0a620001, 7000 }, .role = MemberRole::Agent, .zone = "b", .service = "orders", .incarnation = 1, .version = 4 };
+    GossipSystem& node = *fleet.nodes[0];
+    node.learn(fleet.now, agent);
+    node.onHeartbeat(fleet.now, agent.address);
+    agent.version += 1;
+    agent.liveness = Liveness::Gone;
+    CHECK(node.learn(fleet.now, agent));
+    CHECK(node.table().find(agent.address)->record.liveness == Liveness::Gone);
+}
--- a/tools/lib/soak/world.py
+++ b/tools/lib/soak/world.py
@@ -1,7 +1,6 @@
 """The deployment under test: processes, links, store, routers, and what each kind of event does to them."""
 
 import asyncio
-import base64
 import json
 import os
 import signal
@@ -217,9 +216,6 @@
             if (known[-1][2] if known else None) != routes.get(route):
                 self.promises.on_route(route, self.version, routes.get(route))
 
-    def store_items(self):
-        return {key: base64.b64decode(item["value"]).decode() for key, item in self.store.items.items()}
-
     def trouble(self, machines, seconds, is_planned=False):
         """Notes that machines are disturbed. Planned work excuses no silence."""
         until = self.promises.clock() + seconds
