Packet agents log probes, returned packets, found owners and forgotten flows

For the incident of an idle flow at another upstream the logs could not tell whether its packets were swallowed by a half-open copy, by a lost answer to a probe, or on a way that ended before the owner. New lines: flow-probed, packet-returned, flow-found, search-timed-out, flow-expired, packet-dropped, each with the flow.

--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -12,12 +12,6 @@
 namespace {
 
     constexpr Duration minimumFetchInterval = 500ms; ///< Least time between two snapshot requests.
-    constexpr Duration expiryPeriod = 500ms;
-    constexpr Duration unopenedTimeout = 2s; ///< For the opening handshake; a caller gives up after 1.4 s.
-    constexpr Duration probeTimeout = 3s; ///< For the upstream's answer to a probe.
-    constexpr Duration closedKeepTime = 3s; ///< For late packets; twice the longest interval between two retransmissions.
-    constexpr Duration idleTimeoutMargin = 20s; ///< Idle flows are kept for this long beyond flowIdleTimeout.
-    constexpr Duration requestTimeout = 15s; ///< A request without an answer for this long no longer counts against slots and queue.
     constexpr Duration queryPeriod = 300ms; ///< Time between two queries of a search, and least time between its two rounds.
     constexpr Duration searchTimeout = 1500ms; ///< A search without a result ends then, without a reset to the caller.
     constexpr double searchesPerSecond = 200; ///< Refill rate of the token bucket.
@@ -250,57 +244,6 @@
     this->table = rule == nullptr ? BucketTable() : BucketTable(bucketMembers(this->peers.allAgents(), *rule, this->follower.current()));
 }
 
-/** Starts or ends a flow's wait for the upstream's answer, and adjusts the counts of waiting flows and requests. */
-void PacketAgent::setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting)
-{
-    if (flow.isAwaitingAnswer != isAwaiting) {
-        flow.isAwaitingAnswer = isAwaiting;
-        this->flowsAwaitingAnswer = isAwaiting ? this->flowsAwaitingAnswer + 1 : this->flowsAwaitingAnswer - 1;
-    }
-    if (!isAwaiting && flow.requestsAtArrival != 0) {
-        flow.requestsAtArrival = 0;
-        --this->pendingRequests;
-    }
-    flow.awaitingSince = now;
-}
-
-/** Erases a flow, if known, and no longer counts it as waiting. */
-void PacketAgent::eraseFlow(const FlowKey& key)
-{
-    const auto found = this->flows.find(key);
-    if (found != this->flows.end()) {
-        this->setAwaitingAnswer(found->second.awaitingSince, found->second, false);
-        this->flows.erase(found);
-    }
-}
-
-void PacketAgent::expireFlows(TimePoint now)
-{
-    if (now < this->nextExpiry) {
-        return;
-    }
-    this->nextExpiry = now + expiryPeriod;
-    std::erase_if(this->ownerCache, [now](const auto& entry) { return entry.second.expiresAt <= now; });
-    std::vector<FlowKey> expired;
-    for (auto& [key, flow] : this->flows) {
-        if (flow.isAwaitingAnswer && now - flow.awaitingSince >= requestTimeout) {
-            this->setAwaitingAnswer(now, flow, false);
-        }
-        const bool isUnopened = flow.stage == FlowStage::OpeningSent || flow.stage == FlowStage::OpeningAnswered;
-        const bool isExpired = (isUnopened && now - flow.createdAt >= unopenedTimeout)
-            || (flow.stage == FlowStage::Probing && now - flow.lastPacketAt >= probeTimeout)
-            || (flow.stage == FlowStage::Closed && now - flow.lastPacketAt >= closedKeepTime)
-            || now - flow.lastPacketAt >= this->settings.flowIdleTimeout + idleTimeoutMargin;
-        if (isExpired) {
-            expired.push_back(key);
-        }
-    }
-    for (const FlowKey& key : expired) {
-        this->eraseFlow(key);
-    }
-    this->count.add(Counter::FlowsExpired, expired.size());
-}
-
 void PacketAgent::tickSearches(TimePoint now, Actions& actions)
 {
     const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
@@ -321,6 +264,16 @@
     for (const FlowKey& flow : deniedByAll) {
         this->declareFlowLost(now, flow, actions);
     }
+    for (const auto& [flow, search] : this->searches) {
+        if (now - search.startedAt >= searchTimeout) {
+            this->events.log(EventLevel::Info, "search-timed-out",
+                {
+                    { "flow", formatFlow(flow) },
+                    { "pending", std::to_string(search.pendingPeers.size()) },
+                    { "round", search.isSecondRound ? "2" : "1" },
+                });
+        }
+    }
     const size_t searchCount = this->searches.size();
     std::erase_if(this->searches, [now](const auto& entry) { return now - entry.second.startedAt >= searchTimeout; });
     this->count.add(Counter::FlowsLost, searchCount - this->searches.size());
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -107,17 +107,19 @@
     };
 
     // packet_agent.cpp
-    void setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting);
-    void eraseFlow(const FlowKey& key);
     void fetchNewerRules(TimePoint now, Address balancer, Revision revision, Actions& actions);
     void applyConfiguration(TimePoint now);
     void beginUpstreamLifetime(TimePoint now, const UpstreamReport& report);
     void updateOwnRecord(TimePoint now);
     void updateTable();
-    void expireFlows(TimePoint now);
     void tickSearches(TimePoint now, Actions& actions);
     bool isUpstreamYoungerThanAgent() const;
 
+    // packet_flow.cpp
+    void setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting);
+    void eraseFlow(const FlowKey& key);
+    void expireFlows(TimePoint now);
+
     // packet_admission.cpp
     static std::string_view toText(Obstacle obstacle);
     bool isUpstreamSilent(TimePoint now) const;
--- /dev/null
+++ b/src/packet/packet_flow.cpp
@@ -0,0 +1,76 @@
+/** @file packet_flow.cpp Table of the flows at an agent's upstream: waiting flows are counted, idle ones expire. */
+#include "packet/packet_agent_base.h"
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration expiryPeriod = 500ms;
+    constexpr Duration unopenedTimeout = 2s; ///< For the opening handshake; a caller gives up after 1.4 s.
+    constexpr Duration probeTimeout = 3s; ///< For the upstream's answer to a probe.
+    constexpr Duration closedKeepTime = 3s; ///< For late packets; twice the longest interval between two retransmissions.
+    constexpr Duration idleTimeoutMargin = 20s; ///< Idle flows are kept for this long beyond flowIdleTimeout.
+    constexpr Duration requestTimeout = 15s; ///< A request without an answer for this long no longer counts against slots and queue.
+
+} // namespace
+
+/** Starts or ends a flow's wait for the upstream's answer, and adjusts the counts of waiting flows and requests. */
+void PacketAgent::setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting)
+{
+    if (flow.isAwaitingAnswer != isAwaiting) {
+        flow.isAwaitingAnswer = isAwaiting;
+        this->flowsAwaitingAnswer = isAwaiting ? this->flowsAwaitingAnswer + 1 : this->flowsAwaitingAnswer - 1;
+    }
+    if (!isAwaiting && flow.requestsAtArrival != 0) {
+        flow.requestsAtArrival = 0;
+        --this->pendingRequests;
+    }
+    flow.awaitingSince = now;
+}
+
+/** Erases a flow, if known, and no longer counts it as waiting. */
+void PacketAgent::eraseFlow(const FlowKey& key)
+{
+    const auto found = this->flows.find(key);
+    if (found != this->flows.end()) {
+        this->setAwaitingAnswer(found->second.awaitingSince, found->second, false);
+        this->flows.erase(found);
+    }
+}
+
+void PacketAgent::expireFlows(TimePoint now)
+{
+    if (now < this->nextExpiry) {
+        return;
+    }
+    this->nextExpiry = now + expiryPeriod;
+    std::erase_if(this->ownerCache, [now](const auto& entry) { return entry.second.expiresAt <= now; });
+    std::vector<FlowKey> expired;
+    for (auto& [key, flow] : this->flows) {
+        if (flow.isAwaitingAnswer && now - flow.awaitingSince >= requestTimeout) {
+            this->setAwaitingAnswer(now, flow, false);
+        }
+        const bool isUnopened = flow.stage == FlowStage::OpeningSent || flow.stage == FlowStage::OpeningAnswered;
+        const bool isExpired = (isUnopened && now - flow.createdAt >= unopenedTimeout)
+            || (flow.stage == FlowStage::Probing && now - flow.lastPacketAt >= probeTimeout)
+            || (flow.stage == FlowStage::Closed && now - flow.lastPacketAt >= closedKeepTime)
+            || now - flow.lastPacketAt >= this->settings.flowIdleTimeout + idleTimeoutMargin;
+        if (isExpired) {
+            expired.push_back(key);
+        }
+        if (isExpired && flow.stage != FlowStage::Closed) {
+            this->events.log(EventLevel::Info, "flow-expired",
+                {
+                    { "flow", formatFlow(key) },
+                    { "stage", std::string(toString(flow.stage)) },
+                    { "idle_ms", std::to_string(toMilliseconds(now - flow.lastPacketAt)) },
+                });
+        }
+    }
+    for (const FlowKey& key : expired) {
+        this->eraseFlow(key);
+    }
+    this->count.add(Counter::FlowsExpired, expired.size());
+}
+
+} // namespace lavender
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -4,7 +4,10 @@
 #include "core/address_type.h"
 #include "core/time_type.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace lavender {
 
@@ -17,6 +20,13 @@
     Closed, ///< Both ends closed the flow, or one reset it.
 };
 
+/** Name of a stage in events. */
+constexpr std::string_view toString(FlowStage stage)
+{
+    constexpr std::array<std::string_view, 5> names { "opening_sent", "opening_answered", "open", "probing", "closed" };
+    return names[static_cast<size_t>(stage)];
+}
+
 /** One flow at this agent's upstream. */
 struct PacketFlow {
     FlowStage stage = FlowStage::OpeningSent;
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -103,6 +103,12 @@
     this->count.add(Counter::PacketsReturned);
     const FlowKey key = segment.flowOfCaller();
     const auto found = this->flows.find(key);
+    this->events.log(EventLevel::Info, "packet-returned",
+        {
+            { "flow", formatFlow(key) },
+            { "opening", segment.isOpening ? "true" : "false" },
+            { "stage", found == this->flows.end() ? "unknown" : std::string(toString(found->second.stage)) },
+        });
     if (found != this->flows.end()) {
         const FlowStage stage = found->second.stage;
         if (stage == FlowStage::Open && !segment.isOpening) {
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -224,6 +224,12 @@
     flow.searcher = forwarded.searcher;
     this->count.add(Counter::FlowsProbed);
     this->firstProbeAt = this->probesSent++ == 0 ? now : this->firstProbeAt;
+    this->events.log(EventLevel::Info, "flow-probed",
+        {
+            { "flow", formatFlow(forwarded.packet.flow) },
+            { "hops", std::to_string(forwarded.hops) },
+            { "searcher", forwarded.searcher.isValid() ? formatAddress(forwarded.searcher) : "none" },
+        });
     this->deliverToUpstream(now, flow, segment, forwarded.packet.payload, actions);
 }
 
@@ -278,6 +284,12 @@
 {
     if (forwarded.hops >= maximumHops) {
         this->count.add(Counter::PacketsHopLimit);
+        this->events.log(EventLevel::Info, "packet-dropped",
+            {
+                { "flow", formatFlow(forwarded.packet.flow) },
+                { "reason", "hop_limit" },
+                { "next", formatAddress(to) },
+            });
         return;
     }
     (void)candidateIndex(forwarded, to);
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -24,6 +24,12 @@
     }
     if (this->searchTokens < 1 || this->searches.size() >= maximumSearches) {
         this->count.add(Counter::SearchesLimited);
+        this->events.log(EventLevel::Info, "packet-dropped",
+            {
+                { "flow", formatFlow(key) },
+                { "reason", "search_limit" },
+                { "searches", std::to_string(this->searches.size()) },
+            });
         return;
     }
     this->searchTokens -= 1;
@@ -103,6 +109,12 @@
         this->endRoundIfComplete(now, reply.flow, actions);
         return;
     }
+    this->events.log(EventLevel::Info, "flow-found",
+        {
+            { "flow", formatFlow(reply.flow) },
+            { "owner", formatAddress(reply.owner) },
+            { "search_ms", std::to_string(toMilliseconds(now - search.startedAt)) },
+        });
     ForwardedPacket forwarded = std::move(search.packet);
     this->searches.erase(found);
     this->cacheOwner(now, reply.flow, reply.owner);
