--- /dev/null
+++ b/tests/packet_lookup_test.cpp
@@ -0,0 +1,37 @@
+/** @file packet_lookup_test.cpp Packets of flows that neither balancers nor home agents remember find the flow's owner. */
+#include "packet_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+using namespace lavender::test;
+
+namespace {
+
+constexpr Duration firstRetransmission = 200ms; ///< Time after which a caller sends an unanswered packet again.
+constexpr uint16_t flowCount = 20; ///< Flows in different buckets, so that their packets take different ways.
+constexpr Duration idleTime = 15s; ///< By then nobody but its owner remembers a flow.
+
+Bytes dataPacket(uint16_t port) { return makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001, 20); }
+
+} // namespace
+
+TEST_GROUP(PacketLookup) {};
+
+/** Packets of an idle flow vanished at an agent that had ended, until the other agents heard of that 5 s later. */
+TEST(PacketLookup, AnEndedAgentOnTheWayDoesNotHideAnIdleFlow)
+{
+    PacketNetwork network(6);
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.open(5, port);
+    }
+    network.advance(idleTime);
+    network.nodes[1].isRunning = false;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.nodes[5].deliveries = 0;
+        network.send(0, dataPacket(port), { packetAgent(0), packetAgent(1), packetAgent(2), packetAgent(3) });
+        network.advance(firstRetransmission);
+        CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    }
+    CHECK_EQUAL(0, network.resets);
+}
--- /dev/null
+++ b/tests/packet_network.h
@@ -0,0 +1,162 @@
+/** @file packet_network.h Several agents of one service with their upstreams, for tests of the way to a flow's owner. */
+#pragma once
+
+#include "packet_test.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lavender::test {
+
+inline Address packetAgent(uint32_t index) { return { 0x0A010002 + index, 7000 }; }
+
+inline MemberRecord packetAgentRecord(uint32_t index)
+{
+    return {
+        .address = packetAgent(index),
+        .role = MemberRole::Agent,
+        .zone = "a",
+        .service = "orders",
+        .incarnation = 1'000'000,
+        .version = 1,
+        .slots = 2,
+        .weight = 200,
+    };
+}
+
+/** One agent and its upstream, which returns the packets of flows that it does not hold. */
+struct PacketNode {
+    std::unique_ptr<PacketAgent> agent;
+    bool isRunning = true; ///< False: messages to the agent are lost, and so are packets for the upstream.
+    std::set<FlowKey> flows; ///< Flows that the upstream holds.
+    size_t deliveries = 0; ///< Packets that reached the upstream.
+};
+
+/** Agents that know each other, with a virtual clock. Messages arrive at once, but for those to agents that do not run. */
+class PacketNetwork {
+public:
+    explicit PacketNetwork(uint32_t count)
+    {
+        for (uint32_t index = 0; index < count; ++index) {
+            PacketNode& node = this->nodes.emplace_back();
+            node.agent = std::make_unique<PacketAgent>(
+                PacketAgentSettings { .address = packetAgent(index), .zone = "a", .service = "orders", .incarnation = 1'000'000, .slots = 2, .startedAt = this->now },
+                this->codec, this->random, this->events);
+            Actions actions;
+            node.agent->onSnapshot(this->now, { .revision = 5, .rules = makePatch(0, "", packetRules) }, actions);
+            std::vector<MemberRecord> others;
+            for (uint32_t other = 0; other < count; ++other) {
+                others.push_back(packetAgentRecord(other));
+            }
+            node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer, .peers = others }, actions);
+            node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer }, actions);
+        }
+        this->advance(1s);
+    }
+
+    /** Opens a flow of the caller with this port at the upstream of agent @p index. */
+    void open(uint32_t index, uint16_t port)
+    {
+        PacketNode& node = this->nodes[index];
+        node.flows.insert({ caller(port), packetService });
+        this->send(index, makePacket(caller(port), packetService, OpeningFlag), { packetAgent(index) });
+        Actions actions;
+        node.agent->onUpstreamPacket(this->now, makePacket(packetService, caller(port), OpeningFlag | AcknowledgingFlag, 1000, 1), actions);
+        this->send(index, makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001), { packetAgent(index) });
+        node.deliveries = 0;
+    }
+
+    /** A balancer forwards a caller's packet to agent @p first, with these candidates. */
+    void send(uint32_t first, Bytes bytes, std::vector<Address> candidates)
+    {
+        const Segment segment = *this->codec.parse(bytes);
+        ForwardedPacket forwarded {
+            .packet = {
+                .flow = segment.flowOfCaller(),
+                .mark = segment.isOpening ? PacketMark::Opening : PacketMark::Established,
+                .payload = std::move(bytes),
+            },
+            .service = hashText("orders"),
+            .candidates = std::move(candidates),
+            .home = packetAgent(first),
+            .balancer = packetBalancer,
+        };
+        this->inFlight.push_back({ packetAgent(first), std::move(forwarded) });
+        this->deliverAll();
+    }
+
+    /** Advances the clock in ticks of 50 ms. Upstreams report every second. */
+    void advance(Duration span)
+    {
+        for (const TimePoint end = this->now + span; this->now < end;) {
+            this->now += 50ms;
+            const bool isReportDue = this->now - this->lastReportAt >= 1s;
+            this->lastReportAt = isReportDue ? this->now : this->lastReportAt;
+            this->sequence += isReportDue ? 1 : 0;
+            for (PacketNode& node : this->nodes) {
+                if (!node.isRunning) {
+                    continue;
+                }
+                if (isReportDue) {
+                    (void)node.agent->onUpstreamReport(this->now, { .id = "u", .service = "orders", .started = 500'000, .sequence = this->sequence, .slots = 2 });
+                }
+                Actions actions;
+                node.agent->tick(this->now, actions);
+                this->collect(node, actions);
+            }
+            this->deliverAll();
+        }
+    }
+
+    std::vector<PacketNode> nodes;
+    size_t resets = 0; ///< Packets sent to callers other than the answers to openings.
+
+private:
+    void deliverAll()
+    {
+        while (!this->inFlight.empty()) {
+            const SendMessage next = std::move(this->inFlight.front());
+            this->inFlight.pop_front();
+            for (PacketNode& node : this->nodes) {
+                if (node.isRunning && node.agent->self().address == next.to) {
+                    Actions actions;
+                    node.agent->onMessage(this->now, next.message, actions);
+                    this->collect(node, actions);
+                }
+            }
+        }
+    }
+
+    /** Queues messages; the upstream takes its packets and returns those of flows that it does not hold. */
+    void collect(PacketNode& node, const Actions& actions)
+    {
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<SendMessage>(&action)) {
+                this->inFlight.push_back(*send);
+            } else if (std::holds_alternative<SendToCaller>(action)) {
+                ++this->resets;
+            } else if (const auto* delivery = std::get_if<SendToUpstream>(&action)) {
+                ++node.deliveries;
+                Bytes packet = delivery->packet;
+                if (!node.flows.contains(this->codec.parse(packet)->flowOfCaller())) {
+                    packet[8] |= ReturnedFlag;
+                    Actions answers;
+                    node.agent->onUpstreamPacket(this->now, packet, answers);
+                    this->collect(node, answers);
+                }
+            }
+        }
+    }
+
+    platform::PacketCodec codec;
+    SeededRandom random { 1 };
+    NullEventSink events;
+    TimePoint now = 100s;
+    TimePoint lastReportAt {};
+    uint64_t sequence = 0;
+    std::deque<SendMessage> inFlight;
+};
+
+} // namespace lavender::test
