The first agent on a packet's way awaits the owner's report, else it searches

Cause: after 10 s nobody but its owner remembers a flow.

An agent that probes its upstream extends the wait, one that begins a search ends it. No message changes; agents of the earlier version ignore the notices.

Why it works: the owner's reply needs only the first agent and the owner; the balancer already avoids a first agent that does not answer.

--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -283,6 +283,7 @@
 {
     this->updateOwnRecord(now);
     this->updateTable();
+    this->tickLookups(now, actions);
     this->tickSearches(now, actions);
     this->peers.tick(now, this->follower.revision(), actions);
     this->expireFlows(now);
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -85,6 +85,12 @@
         bool isSecondRound = false; ///< All agents are asked again, including those that have become known since.
     };
 
+    /** A packet of an unknown flow is on its way along the candidates; the owner is to report to this agent. */
+    struct Lookup {
+        ForwardedPacket packet; ///< Latest packet of the flow, as this agent received it; sent to the owner when a search finds it.
+        TimePoint lastNoticeAt {}; ///< Start of the lookup, or when an agent last reported that it probes its upstream.
+    };
+
     /** An opening packet that arrived before the first rules. */
     struct HeldOpening {
         TimePoint receivedAt {};
@@ -140,6 +146,8 @@
     void probeUpstream(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void forwardUnknownFlow(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
+    void forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
+    void reportOwner(TimePoint now, PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const;
     bool forwardToNextCandidate(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
     bool mayUpstreamHold(TimePoint now, const FlowKey& flow) const;
@@ -148,6 +156,11 @@
     void cacheOwner(TimePoint now, const FlowKey& flow, Address owner);
     void fillCandidates(ForwardedPacket& forwarded) const;
 
+    // packet_lookup.cpp
+    void beginLookup(TimePoint now, const ForwardedPacket& forwarded);
+    void handleLookupNotice(TimePoint now, const FlowQueryReply& reply);
+    void tickLookups(TimePoint now, Actions& actions);
+
     // packet_search.cpp
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     std::set<Address> peersWithUpstream() const;
@@ -177,6 +190,7 @@
     Revision tableRevision = 0; ///< Revision of the rules that the table was computed from.
     std::unordered_map<FlowKey, PacketFlow> flows; ///< Flows at the own upstream.
     std::unordered_map<FlowKey, CachedOwner> ownerCache; ///< Owners of flows that are not at the own upstream.
+    std::unordered_map<FlowKey, Lookup> lookups; ///< Flows for which this agent is the first on a packet's way and awaits the owner's notice.
     std::unordered_map<FlowKey, Search> searches;
     std::vector<HeldOpening> heldOpenings;
     size_t flowsAwaitingAnswer = 0; ///< Number of flows with isAwaitingAnswer: they take the upstream's slots and queue places.
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -37,10 +37,11 @@
     uint32_t upstreamInitialSequence = 0; ///< Sequence number of the upstream's answer to the opening packet.
     uint32_t lastCallerAcknowledgement = 0; ///< Acknowledgement number in the caller's latest packet that had one.
     Address balancer; ///< Balancer that the opening packet came through; not valid if unknown.
-    Address home; ///< First choice of the balancer for this flow; it is told the owner if that is another agent.
+    Address home; ///< First agent on the way of the flow's packets; it is told the owner if that is another agent.
     Address searcher; ///< Agent that searches for the flow and waits for the result of the probe; not valid if there is none.
     TimePoint createdAt {}; ///< When this entry was made: for an opening packet, a probe, or the upstream's first packet of a flow that was unknown here.
     TimePoint awaitingSince {}; ///< When isAwaitingAnswer was last set or cleared.
+    TimePoint homeToldAt {}; ///< When home was last told that the flow is here.
     TimePoint lastPacketAt {}; ///< When the latest packet of either end passed.
 };
 
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -55,6 +55,9 @@
         flow.stage = FlowStage::Open;
         if (flow.searcher.isValid()) {
             this->sendFlowQueryReply(key, std::exchange(flow.searcher, {}), true, actions);
+        } else if (flow.home.isValid() && flow.home != this->settings.address) {
+            flow.homeToldAt = now;
+            this->sendFlowQueryReply(key, flow.home, true, actions);
         }
     }
     if (segment.dataBytes > 0) {
@@ -103,6 +106,7 @@
     this->count.add(Counter::PacketsReturned);
     const FlowKey key = segment.flowOfCaller();
     const auto found = this->flows.find(key);
+    Address home = this->settings.address;
     this->events.log(EventLevel::Info, "packet-returned",
         {
             { "flow", formatFlow(key) },
@@ -121,6 +125,7 @@
         }
         const Address searcher = found->second.searcher;
         const Address balancer = found->second.balancer;
+        home = found->second.home.isValid() ? found->second.home : home;
         this->eraseFlow(key);
         if (segment.isOpening) {
             this->refusalBackoff.onRefused(now);
@@ -137,14 +142,12 @@
         return; // The flow has expired here, so nobody waits for the outcome.
     }
     this->cacheOwner(now, key, {});
-    ForwardedPacket forwarded { .packet = { .flow = key, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash };
+    ForwardedPacket forwarded { .packet = { .flow = key, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash, .home = home };
     this->codec.clearReturned(forwarded.packet.payload);
     this->fillCandidates(forwarded);
     (void)markVisited(forwarded, this->settings.address);
     forwarded.hops = 1;
-    if (!this->forwardToNextCandidate(forwarded, actions)) {
-        this->beginSearch(now, forwarded, actions);
-    }
+    this->forwardAlongCandidates(now, forwarded, actions);
 }
 
 /** Sends the caller a reset of its flow. @param reason Reason in the event. */
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -15,6 +15,7 @@
     constexpr uint32_t firstAcknowledgementWindow = 1U << 16U; ///< Bytes that a caller's first acknowledgement may be ahead of the opening's answer.
     constexpr size_t maximumHeldOpenings = 256; ///< Limits memory; an opening packet has 31 bytes.
     constexpr Duration maximumHoldTime = 400ms; ///< Time between a caller's first and last retransmission.
+    constexpr Duration ownerReportPeriod = 1s; ///< Between two reports of one flow to the same agent.
     constexpr Duration initialFetchInterval = 100ms; ///< Least time between two snapshot requests until the first rules arrive.
 
 } // namespace
@@ -36,12 +37,16 @@
         this->count.add(Counter::PacketsHopLimit);
         return;
     }
-    ++forwarded.hops;
+    if (++forwarded.hops == 1 && !segment->isOpening) {
+        forwarded.home = this->settings.address; // The balancer's first choice may be another agent that it avoids now.
+    }
     const FlowKey& key = forwarded.packet.flow;
     if (const auto flow = this->flows.find(key); flow != this->flows.end() && this->handleKnownFlow(now, flow->second, *segment, forwarded, actions)) {
         if (forwarded.searcher.isValid()) {
             flow->second.searcher = flow->second.stage == FlowStage::Probing ? forwarded.searcher : Address {};
             this->sendFlowQueryReply(key, forwarded.searcher, flow->second.stage == FlowStage::Open, actions);
+        } else if (!segment->isOpening) {
+            this->reportOwner(now, flow->second, forwarded, actions);
         }
         return;
     }
@@ -64,6 +69,19 @@
     this->forwardUnknownFlow(now, *segment, forwarded, actions);
 }
 
+/** Tells the first agent on a packet's way that the flow is here, at most once in each ownerReportPeriod. */
+void PacketAgent::reportOwner(TimePoint now, PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const
+{
+    const bool isOwner = flow.stage == FlowStage::Open || flow.stage == FlowStage::Closed;
+    const bool isKnown = flow.home == forwarded.home && flow.homeToldAt != TimePoint {} && now - flow.homeToldAt < ownerReportPeriod;
+    if (!isOwner || isKnown || !forwarded.home.isValid() || forwarded.home == this->settings.address) {
+        return;
+    }
+    flow.home = forwarded.home;
+    flow.homeToldAt = now;
+    this->sendFlowQueryReply(forwarded.packet.flow, forwarded.home, true, actions);
+}
+
 /** Handles a packet of a flow in the flow table. @return False if the packet has to go to another agent. */
 bool PacketAgent::handleKnownFlow(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
 {
@@ -222,6 +240,7 @@
     flow.stage = FlowStage::Probing;
     flow.createdAt = now;
     flow.searcher = forwarded.searcher;
+    flow.home = forwarded.home;
     this->count.add(Counter::FlowsProbed);
     this->firstProbeAt = this->probesSent++ == 0 ? now : this->firstProbeAt;
     this->events.log(EventLevel::Info, "flow-probed",
@@ -230,6 +249,9 @@
             { "hops", std::to_string(forwarded.hops) },
             { "searcher", forwarded.searcher.isValid() ? formatAddress(forwarded.searcher) : "none" },
         });
+    if (!forwarded.searcher.isValid() && forwarded.home.isValid() && forwarded.home != this->settings.address) {
+        actions.push_back(SendMessage { forwarded.home, FlowQueryReply { .flow = forwarded.packet.flow, .responder = this->settings.address, .mayHoldFlow = true } });
+    }
     this->deliverToUpstream(now, flow, segment, forwarded.packet.payload, actions);
 }
 
@@ -261,7 +283,20 @@
         this->probeUpstream(now, segment, forwarded, actions);
         return;
     }
+    this->forwardAlongCandidates(now, forwarded, actions);
+}
+
+/**
+ * Forwards a packet of an unknown flow to the next candidate; if none is left, a search begins. The first agent on the packet's
+ * way awaits the owner's notice, since an agent on the way may have ended, or a datagram may be lost.
+ */
+void PacketAgent::forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions)
+{
+    if (forwarded.home == this->settings.address) {
+        this->beginLookup(now, forwarded);
+    }
     if (!this->forwardToNextCandidate(forwarded, actions)) {
+        this->lookups.erase(forwarded.packet.flow);
         this->beginSearch(now, forwarded, actions);
     }
 }
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -45,6 +45,9 @@
             { "hops", std::to_string(forwarded.hops) },
             { "peers", std::to_string(this->peers.otherAgents().size()) },
         });
+    if (forwarded.home.isValid() && forwarded.home != this->settings.address) {
+        this->sendFlowQueryReply(key, forwarded.home, false, actions); // Ends its lookup: one search is enough.
+    }
     this->queryPeers(key, search, actions);
     this->endRoundIfComplete(now, FlowKey(key), actions);
 }
@@ -90,9 +93,7 @@
 {
     const auto found = this->searches.find(reply.flow);
     if (found == this->searches.end()) {
-        if (reply.owner.isValid() && reply.owner != this->settings.address && !this->flows.contains(reply.flow)) {
-            this->cacheOwner(now, reply.flow, reply.owner); // The owner tells this agent, the flow's home, that it has opened the flow.
-        }
+        this->handleLookupNotice(now, reply);
         return;
     }
     Search& search = found->second;
