A flow's home is told the owner once the caller has chosen it

What callers could see: for up to 10 s of use, packets of an open flow take a detour by an upstream that answered the opening too, and vanish if its agent ends.

Cause: an agent told the flow's home that it has the flow as soon as its upstream had answered the opening. If two upstreams answer, the later report stays in the home's cache, and packets for a cached owner have no lookup.

Change: the agent reports when the caller's first acknowledgement shows that it chose this upstream. In between, packets that do not come by the balancer of the opening are looked up. The test failed before: the owner got no packet.

--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -47,9 +47,6 @@
             this->refusalBackoff.reset();
             this->handshakeLatencies.add(now - flow.createdAt);
             this->reportOutcome(now, key, OpeningResult::Accepted, flow.balancer, actions);
-            if (flow.home.isValid() && flow.home != this->settings.address) {
-                this->sendFlowQueryReply(key, flow.home, true, actions);
-            }
         }
     } else if (flow.stage == FlowStage::Probing) {
         flow.stage = FlowStage::Open;
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -103,6 +103,10 @@
             return false;
         }
         flow.stage = FlowStage::Open;
+        if (flow.home.isValid() && flow.home != this->settings.address) {
+            flow.homeToldAt = now;
+            this->sendFlowQueryReply(forwarded.packet.flow, flow.home, true, actions);
+        }
         break;
     case FlowStage::Probing:
         // The upstream has not returned the probe, so it counts as holding the flow even without an answer: not every packet requires one.
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -12,7 +12,10 @@
 constexpr uint16_t flowCount = 20; ///< Flows in different buckets, so that their packets take different ways.
 constexpr Duration idleTime = 15s; ///< By then nobody but its owner remembers a flow.
 
-Bytes dataPacket(uint16_t port) { return makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001, 20); }
+Bytes dataPacket(uint16_t port, uint32_t owner)
+{
+    return makePacket(caller(port), packetService, AcknowledgingFlag, 1, PacketNetwork::initialSequence(owner) + 1, 20);
+}
 
 } // namespace
 
@@ -29,7 +32,40 @@
     network.nodes[1].isRunning = false;
     for (uint16_t port = 1; port <= flowCount; ++port) {
         network.nodes[5].deliveries = 0;
-        network.send(0, dataPacket(port), { packetAgent(0), packetAgent(1), packetAgent(2), packetAgent(3) });
+        network.send(0, dataPacket(port, 5), { packetAgent(0), packetAgent(1), packetAgent(2), packetAgent(3) });
+        network.advance(firstRetransmission);
+        CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    }
+    CHECK_EQUAL(0, network.resets);
+}
+
+/** If two upstreams answered an opening, the flow's home took the one that answered last for the owner, though the caller had chosen the other. */
+TEST(PacketLookup, AnAnswerThatTheCallerDidNotChooseDoesNotMisleadTheHome)
+{
+    PacketNetwork network(4);
+    network.answerOpening(2, 1, 0);
+    network.answerOpening(1, 1, 0);
+    network.send(2, makePacket(caller(1), packetService, AcknowledgingFlag, 1, PacketNetwork::initialSequence(2) + 1), { packetAgent(2) });
+    network.nodes[1].isRunning = false;
+    network.nodes[2].deliveries = 0;
+    network.send(0, dataPacket(1, 2), { packetAgent(0), packetAgent(3) });
+    network.advance(firstRetransmission);
+    CHECK_EQUAL(1, network.nodes[2].deliveries);
+    CHECK_EQUAL(0, network.resets);
+}
+
+/** A lost report of the owner may cost a search, but no packet and no reset. */
+TEST(PacketLookup, ALostReportOfTheOwnerCostsNoPacket)
+{
+    PacketNetwork network(6);
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.open(5, port);
+    }
+    network.advance(idleTime);
+    network.loseNotices = true;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.nodes[5].deliveries = 0;
+        network.send(0, dataPacket(port, 5), { packetAgent(0), packetAgent(2), packetAgent(3) });
         network.advance(firstRetransmission);
         CHECK_TRUE(network.nodes[5].deliveries >= 1);
     }
--- a/tests/packet_network.h
+++ b/tests/packet_network.h
@@ -3,6 +3,7 @@
 
 #include "packet_test.h"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <set>
@@ -58,18 +59,32 @@
 
     /** Opens a flow of the caller with this port at the upstream of agent @p index. */
     void open(uint32_t index, uint16_t port)
+    {
+        this->answerOpening(index, port, index);
+        this->send(index, makePacket(caller(port), packetService, AcknowledgingFlag, 1, initialSequence(index) + 1), { packetAgent(index) });
+        this->nodes[index].deliveries = 0;
+    }
+
+    /** The upstream of agent @p index answers an opening packet. @param home First choice of the balancer. */
+    void answerOpening(uint32_t index, uint16_t port, uint32_t home)
     {
         PacketNode& node = this->nodes[index];
         node.flows.insert({ caller(port), packetService });
-        this->send(index, makePacket(caller(port), packetService, OpeningFlag), { packetAgent(index) });
+        this->send(index, makePacket(caller(port), packetService, OpeningFlag), { packetAgent(index) }, home);
         Actions actions;
-        node.agent->onUpstreamPacket(this->now, makePacket(packetService, caller(port), OpeningFlag | AcknowledgingFlag, 1000, 1), actions);
-        this->send(index, makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001), { packetAgent(index) });
-        node.deliveries = 0;
+        node.agent->onUpstreamPacket(this->now, makePacket(packetService, caller(port), OpeningFlag | AcknowledgingFlag, initialSequence(index), 1), actions);
+        std::erase_if(actions, [](const Action& action) { return std::holds_alternative<SendToCaller>(action); });
+        this->collect(node, actions);
+        this->deliverAll();
     }
 
+    static uint32_t initialSequence(uint32_t index) { return 100'000 * (index + 1); }
+
     /** A balancer forwards a caller's packet to agent @p first, with these candidates. */
-    void send(uint32_t first, Bytes bytes, std::vector<Address> candidates)
+    void send(uint32_t first, Bytes bytes, std::vector<Address> candidates) { this->send(first, std::move(bytes), std::move(candidates), first); }
+
+    /** A balancer forwards a caller's packet to agent @p first, with these candidates and its first choice. */
+    void send(uint32_t first, Bytes bytes, std::vector<Address> candidates, uint32_t home)
     {
         const Segment segment = *this->codec.parse(bytes);
         ForwardedPacket forwarded {
@@ -80,7 +95,7 @@
             },
             .service = hashText("orders"),
             .candidates = std::move(candidates),
-            .home = packetAgent(first),
+            .home = packetAgent(home),
             .balancer = packetBalancer,
         };
         this->inFlight.push_back({ packetAgent(first), std::move(forwarded) });
@@ -111,14 +126,22 @@
     }
 
     std::vector<PacketNode> nodes;
+    bool loseNotices = false; ///< Reports on the owner of a flow are lost, but for replies to queries.
     size_t resets = 0; ///< Packets sent to callers other than the answers to openings.
 
 private:
     void deliverAll()
     {
+        this->isQueried = false;
         while (!this->inFlight.empty()) {
             const SendMessage next = std::move(this->inFlight.front());
             this->inFlight.pop_front();
+            if (std::holds_alternative<FlowQuery>(next.message)) {
+                this->isQueried = true;
+            }
+            if (this->loseNotices && !this->isQueried && std::holds_alternative<FlowQueryReply>(next.message)) {
+                continue;
+            }
             for (PacketNode& node : this->nodes) {
                 if (node.isRunning && node.agent->self().address == next.to) {
                     Actions actions;
@@ -157,6 +180,7 @@
     TimePoint lastReportAt {};
     uint64_t sequence = 0;
     std::deque<SendMessage> inFlight;
+    bool isQueried = false; ///< A search has sent queries, so that replies follow.
 };
 
 } // namespace lavender::test
