A probe that the upstream has not answered yet denies no flow

What callers could see: the reset of an open flow beside an agent that has restarted.

Cause: an agent that is asked to probe its upstream for a flow, and already waits for the answer to a probe, replied that the flow is not here. The searching agent took that as a denial, in its second round too, and reset the flow.

Change: the agent remembers who searches and replies with the upstream's answer. A packet that needs no answer leaves the search without a result: it ends by its time-out, without a reset.

--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -43,8 +43,11 @@
     const FlowKey& key = forwarded.packet.flow;
     if (const auto flow = this->flows.find(key); flow != this->flows.end() && this->handleKnownFlow(now, flow->second, *segment, forwarded, actions)) {
         if (forwarded.searcher.isValid()) {
-            flow->second.searcher = flow->second.stage == FlowStage::Probing ? forwarded.searcher : Address {};
-            this->sendFlowQueryReply(key, forwarded.searcher, flow->second.stage == FlowStage::Open, actions);
+            if (flow->second.stage == FlowStage::Probing) {
+                flow->second.searcher = forwarded.searcher; // Gets the reply with the upstream's answer to the probe.
+            } else {
+                this->sendFlowQueryReply(key, forwarded.searcher, flow->second.stage == FlowStage::Open, actions);
+            }
         } else if (!segment->isOpening) {
             this->reportOwner(now, flow->second, forwarded, actions);
         }
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration firstRetransmission = 200ms; ///< Time after which a caller sends an unanswered packet again.
 constexpr uint16_t flowCount = 20; ///< Flows in different buckets, so that their packets take different ways.
+const TimePoint networkStart = TimePoint {} + 101s; ///< Time of a PacketNetwork after its constructor.
 constexpr Duration idleTime = 15s; ///< By then nobody but its owner remembers a flow.
 
 Bytes dataPacket(uint16_t port, uint32_t owner)
@@ -17,6 +18,16 @@
     return makePacket(caller(port), packetService, AcknowledgingFlag, 1, PacketNetwork::initialSequence(owner) + 1, 20);
 }
 
+Bytes acknowledgement(uint16_t port) { return makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001); }
+FlowKey flowOf(uint16_t port) { return { caller(port), packetService }; }
+
+/** Gives one agent of a network a message. */
+void receive(PacketNetwork& network, uint32_t index, TimePoint now, const Message& message)
+{
+    Actions actions;
+    network.nodes[index].agent->onMessage(now, message, actions);
+}
+
 } // namespace
 
 TEST_GROUP(PacketLookup) {};
@@ -71,3 +82,21 @@
     }
     CHECK_EQUAL(0, network.resets);
 }
+
+/**
+ * Guards against the reset of an open flow beside a restarted agent: it probes its upstream, which holds the flow and need not answer
+ * at once, and denies the flow to the searching agent meanwhile.
+ */
+TEST(PacketLookup, AnUnansweredProbeDoesNotDenyTheFlow)
+{
+    PacketNetwork network(6);
+    network.nodes[5].flows.insert(flowOf(1)); // Opened before the agent's restart.
+    network.send(0, acknowledgement(1), { packetAgent(0), packetAgent(5) });
+    CHECK_EQUAL(1, network.nodes[5].deliveries);
+    for (TimePoint now = networkStart; now < networkStart + 1s;) {
+        network.advance(100ms);
+        now += 100ms;
+        receive(network, 0, now, AnnounceReply { .balancer = packetBalancer });
+    }
+    CHECK_EQUAL(0, network.resets);
+}
