An agent stops looking for a flow that its own upstream shows

What callers could see: the reset of an open flow by the agent of its own upstream.

Cause: a packet from the upstream, or an opening, makes a flow known here and erased the cached owner, but neither a running search nor a lookup. All others deny the flow, so the search ended with a reset.

Change: both end as soon as the flow is known here.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -157,6 +157,7 @@
     void fillCandidates(ForwardedPacket& forwarded) const;
 
     // packet_lookup.cpp
+    void forgetElsewhere(const FlowKey& flow);
     void beginLookup(TimePoint now, const ForwardedPacket& forwarded);
     void handleLookupNotice(TimePoint now, const FlowQueryReply& reply);
     void tickLookups(TimePoint now, Actions& actions);
--- a/src/packet/packet_lookup.cpp
+++ b/src/packet/packet_lookup.cpp
@@ -22,6 +22,14 @@
     }
 }
 
+/** Ends all looking for a flow that turns out to be at the own upstream. */
+void PacketAgent::forgetElsewhere(const FlowKey& flow)
+{
+    this->ownerCache.erase(flow);
+    this->lookups.erase(flow);
+    this->searches.erase(flow);
+}
+
 /**
  * Handles a notice on a flow that this agent does not search for: its owner reports, another agent on the way probes its upstream,
  * or another agent has begun a search.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -38,7 +38,7 @@
         // The upstream opened the flow before this process started.
         flow.createdAt = now;
         flow.stage = FlowStage::Open;
-        this->ownerCache.erase(key);
+        this->forgetElsewhere(key);
     }
     if (segment.isOpening) {
         if (isUnknown || flow.stage == FlowStage::OpeningSent || flow.stage == FlowStage::Probing) {
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -217,7 +217,7 @@
     flow.createdAt = now;
     flow.balancer = forwarded.balancer;
     flow.home = forwarded.home;
-    this->ownerCache.erase(forwarded.packet.flow);
+    this->forgetElsewhere(forwarded.packet.flow);
     this->coldStartLimiter.recordOpening(now);
     if (this->unansweredSince == TimePoint {}) {
         this->unansweredSince = now;
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -100,3 +100,34 @@
     }
     CHECK_EQUAL(0, network.resets);
 }
+
+/**
+ * Guards against an agent that resets an open flow of its own upstream: it searched for the flow since it had just restarted and
+ * took the upstream for absent, and then the upstream sent a packet of the flow.
+ */
+TEST(PacketLookup, ASearchEndsWhenTheOwnUpstreamShowsTheFlow)
+{
+    PacketScene scene;
+    PacketAgent agent({ .address = { 0x0A010005, 7000 }, .zone = "a", .service = "orders", .incarnation = 1'000'000, .slots = 2, .startedAt = scene.now }, scene.codec, scene.random, scene.events);
+    Actions actions;
+    agent.onSnapshot(scene.now, { .revision = 5, .rules = makePatch(0, "", packetRules) }, actions);
+    agent.onMessage(scene.now, AnnounceReply { .balancer = packetBalancer, .peers = { packetAgentRecord(1) } }, actions);
+    agent.onMessage(scene.now, AnnounceReply { .balancer = packetBalancer }, actions);
+    const auto advance = [&](Duration span) {
+        scene.now += span;
+        agent.tick(scene.now, actions);
+    };
+    for (uint16_t port = 1; port <= 3; ++port) {
+        agent.onMessage(scene.now, scene.forwarded(acknowledgement(port)), actions); // Three flows that it holds; no answer is due.
+    }
+    advance(1200ms);
+    agent.onMessage(scene.now, scene.forwarded(dataPacket(9, 0)), actions);
+    agent.onUpstreamPacket(scene.now, makePacket(packetService, caller(9), AcknowledgingFlag, 1001, 21, 50), actions);
+    actions.clear();
+    for (size_t step = 0; step < 6; ++step) {
+        agent.onMessage(scene.now, FlowQueryReply { flowOf(9), packetAgent(1) }, actions);
+        advance(150ms);
+        agent.onMessage(scene.now, AnnounceReply { .balancer = packetBalancer }, actions);
+    }
+    CHECK_EQUAL(0, std::count_if(actions.begin(), actions.end(), [](const Action& action) { return std::holds_alternative<SendToCaller>(action); }));
+}
