A cached owner is looked up again unless it reported within a second

Change: a cached owner that has not reported for a second gets the next packet with a lookup. A packet that needs no report names no first agent, so that the owner reports exactly where it is awaited, without a state of its own for that. The test failed before.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -147,7 +147,7 @@
     void handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void forwardUnknownFlow(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
     void forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
-    void reportOwner(TimePoint now, PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const;
+    void reportOwner(const PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const;
     bool forwardToNextCandidate(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
     bool mayUpstreamHold(TimePoint now, const FlowKey& flow) const;
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -41,13 +41,13 @@
     Address searcher; ///< Agent that searches for the flow and waits for the result of the probe; not valid if there is none.
     TimePoint createdAt {}; ///< When this entry was made: for an opening packet, a probe, or the upstream's first packet of a flow that was unknown here.
     TimePoint awaitingSince {}; ///< When isAwaitingAnswer was last set or cleared.
-    TimePoint homeToldAt {}; ///< When home was last told that the flow is here.
     TimePoint lastPacketAt {}; ///< When the latest packet of either end passed.
 };
 
 /** Cached owner of a flow that is not at this agent's upstream. */
 struct CachedOwner {
     Address owner; ///< Not valid: unknown, but the flow is certainly not at the own upstream.
+    TimePoint confirmedAt {}; ///< When the owner last reported.
     TimePoint expiresAt {};
 };
 
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -53,7 +53,6 @@
         if (flow.searcher.isValid()) {
             this->sendFlowQueryReply(key, std::exchange(flow.searcher, {}), true, actions);
         } else if (flow.home.isValid() && flow.home != this->settings.address) {
-            flow.homeToldAt = now;
             this->sendFlowQueryReply(key, flow.home, true, actions);
         }
     }
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -15,7 +15,7 @@
     constexpr uint32_t firstAcknowledgementWindow = 1U << 16U; ///< Bytes that a caller's first acknowledgement may be ahead of the opening's answer.
     constexpr size_t maximumHeldOpenings = 256; ///< Limits memory; an opening packet has 31 bytes.
     constexpr Duration maximumHoldTime = 400ms; ///< Time between a caller's first and last retransmission.
-    constexpr Duration ownerReportPeriod = 1s; ///< Between two reports of one flow to the same agent.
+    constexpr Duration confirmationTime = 1s; ///< A cached owner that has not reported for this long gets the next packet with a lookup.
     constexpr Duration initialFetchInterval = 100ms; ///< Least time between two snapshot requests until the first rules arrive.
 
 } // namespace
@@ -49,7 +49,7 @@
                 this->sendFlowQueryReply(key, forwarded.searcher, flow->second.stage == FlowStage::Open, actions);
             }
         } else if (!segment->isOpening) {
-            this->reportOwner(now, flow->second, forwarded, actions);
+            this->reportOwner(flow->second, forwarded, actions);
         }
         return;
     }
@@ -65,6 +65,11 @@
         const MemberRecord* owner = this->peers.find(cached->second.owner);
         if (!isVisited(forwarded, cached->second.owner) && (owner == nullptr || owner->liveness != Liveness::Gone)) {
             cached->second.expiresAt = now + ownerCacheTime;
+            if (now - cached->second.confirmedAt < confirmationTime) {
+                forwarded.home = {};
+            } else if (forwarded.home == this->settings.address) {
+                this->beginLookup(now, forwarded);
+            }
             this->forward(forwarded, cached->second.owner, actions);
             return;
         }
@@ -72,17 +77,13 @@
     this->forwardUnknownFlow(now, *segment, forwarded, actions);
 }
 
-/** Tells the first agent on a packet's way that the flow is here, at most once in each ownerReportPeriod. */
-void PacketAgent::reportOwner(TimePoint now, PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const
+/** Tells the agent that looks the flow up, if any, that the flow is here. */
+void PacketAgent::reportOwner(const PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const
 {
     const bool isOwner = flow.stage == FlowStage::Open || flow.stage == FlowStage::Closed;
-    const bool isKnown = flow.home == forwarded.home && flow.homeToldAt != TimePoint {} && now - flow.homeToldAt < ownerReportPeriod;
-    if (!isOwner || isKnown || !forwarded.home.isValid() || forwarded.home == this->settings.address) {
-        return;
+    if (isOwner && forwarded.home.isValid() && forwarded.home != this->settings.address) {
+        this->sendFlowQueryReply(forwarded.packet.flow, forwarded.home, true, actions);
     }
-    flow.home = forwarded.home;
-    flow.homeToldAt = now;
-    this->sendFlowQueryReply(forwarded.packet.flow, forwarded.home, true, actions);
 }
 
 /** Handles a packet of a flow in the flow table. @return False if the packet has to go to another agent. */
@@ -107,7 +108,6 @@
         }
         flow.stage = FlowStage::Open;
         if (flow.home.isValid() && flow.home != this->settings.address) {
-            flow.homeToldAt = now;
             this->sendFlowQueryReply(forwarded.packet.flow, flow.home, true, actions);
         }
         break;
@@ -342,7 +342,7 @@
 /** Caches the owner of a flow; an invalid one means that the flow is not at the own upstream. */
 void PacketAgent::cacheOwner(TimePoint now, const FlowKey& flow, Address owner)
 {
-    this->ownerCache[flow] = { owner, now + ownerCacheTime };
+    this->ownerCache[flow] = { owner, now, now + ownerCacheTime };
 }
 
 /** Adds the candidates for a flow from the bucket table: home, second choice, then the others by rank. */
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -56,7 +56,11 @@
      * of an opaque one takes it even if no slot is free, into its queue.
      */
     bool isPlaced = false;
-    Address home; ///< Agent that ranks first for the flow. It chooses the owner, or is told who took an opaque flow.
+    /**
+     * For an opening packet: agent that ranks first for the flow. It chooses the owner, or is told who took an opaque flow.
+     * For another packet of an opaque flow: first agent on the way, which the owner reports to; not valid if it needs no report.
+     */
+    Address home;
     Address balancer; ///< Balancer that an OpeningOutcome is sent to; not valid if none is wanted.
     Address searcher; ///< Agent that searches for the flow and is told whether the receiver holds it; not valid outside searches.
 
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -101,6 +101,27 @@
     CHECK_EQUAL(0, network.resets);
 }
 
+/**
+ * Guards against an idle flow that stays unreachable: the first agent has cached as its owner another agent, whose upstream
+ * answered a copy of the opening and was not chosen, and an agent on the way from there has ended.
+ */
+TEST(PacketLookup, AWrongCachedOwnerDoesNotHideAnIdleFlow)
+{
+    PacketNetwork network(6);
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.open(5, port);
+        receive(network, 0, networkStart, FlowQueryReply { flowOf(port), packetAgent(2), packetAgent(2) });
+    }
+    network.advance(5s);
+    network.nodes[1].isRunning = false;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.nodes[5].deliveries = 0;
+        network.send(0, dataPacket(port, 5), { packetAgent(0), packetAgent(1), packetAgent(2), packetAgent(3) });
+        network.advance(firstRetransmission);
+        CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    }
+}
+
 /**
  * Guards against an agent that resets an open flow of its own upstream: it searched for the flow since it had just restarted and
  * took the upstream for absent, and then the upstream sent a packet of the flow.
