A denial neither ends a lookup nor announces a search

Cause: the same message, a reply without an owner, said "not here" and "I search".

Change: an agent that begins a search announces it as one whose upstream may hold the flow; that extends the lookup by 60 ms. Replies without an owner leave a lookup alone. Further tests tell apart what ends, delays and begins a lookup.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -88,7 +88,7 @@
     /** A packet of an unknown flow is on its way along the candidates; the owner is to report to this agent. */
     struct Lookup {
         ForwardedPacket packet; ///< Latest packet of the flow, as this agent received it; sent to the owner when a search finds it.
-        TimePoint lastNoticeAt {}; ///< Start of the lookup, or when an agent last reported that it probes its upstream.
+        TimePoint dueAt {}; ///< When the search begins if the owner has not reported.
     };
 
     /** An opening packet that arrived before the first rules. */
--- a/src/packet/packet_lookup.cpp
+++ b/src/packet/packet_lookup.cpp
@@ -1,11 +1,13 @@
 /** @file packet_lookup.cpp Lookups: the first agent on the way of an unknown flow's packet makes sure that it reaches the owner. */
 #include "packet/packet_agent_base.h"
 
+#include <algorithm>
+
 namespace lavender {
 
 namespace {
 
-    constexpr Duration noticeTimeout = 60ms; ///< 20 trips between zones; a search can end before the caller's first retransmission.
+    constexpr Duration reportTimeout = 60ms; ///< 20 trips between zones; a search can end before the caller's first retransmission. Each notice extends it.
     constexpr size_t maximumLookups = 1024; ///< Limits memory, as each holds a packet. Retransmissions of further flows start again.
 
 } // namespace
@@ -18,7 +20,7 @@
     if (found != this->lookups.end()) {
         found->second.packet = forwarded;
     } else if (this->lookups.size() < maximumLookups && !this->searches.contains(key)) {
-        this->lookups[key] = { forwarded, now };
+        this->lookups[key] = { forwarded, now + reportTimeout };
     }
 }
 
@@ -31,20 +33,18 @@
 }
 
 /**
- * Handles a notice on a flow that this agent does not search for: its owner reports, another agent on the way probes its upstream,
- * or another agent has begun a search.
+ * Handles a notice on a flow that this agent does not search for: the flow's owner reports, or another agent on the way probes its
+ * upstream or has begun a search. A denial says nothing here: it may belong to an earlier search.
  */
 void PacketAgent::handleLookupNotice(TimePoint now, const FlowQueryReply& reply)
 {
-    if (reply.mayHoldFlow) {
-        if (const auto found = this->lookups.find(reply.flow); found != this->lookups.end()) {
-            found->second.lastNoticeAt = now;
+    if (reply.owner.isValid()) {
+        this->lookups.erase(reply.flow);
+        if (reply.owner != this->settings.address && !this->flows.contains(reply.flow)) {
+            this->cacheOwner(now, reply.flow, reply.owner);
         }
-        return;
-    }
-    this->lookups.erase(reply.flow);
-    if (reply.owner.isValid() && reply.owner != this->settings.address && !this->flows.contains(reply.flow)) {
-        this->cacheOwner(now, reply.flow, reply.owner);
+    } else if (const auto found = this->lookups.find(reply.flow); reply.mayHoldFlow && found != this->lookups.end()) {
+        found->second.dueAt = std::max(found->second.dueAt, now + reportTimeout);
     }
 }
 
@@ -53,7 +53,7 @@
 {
     std::vector<FlowKey> overdue;
     for (const auto& [flow, lookup] : this->lookups) {
-        if (now - lookup.lastNoticeAt >= noticeTimeout) {
+        if (now >= lookup.dueAt) {
             overdue.push_back(flow);
         }
     }
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -46,7 +46,8 @@
             { "peers", std::to_string(this->peers.otherAgents().size()) },
         });
     if (forwarded.home.isValid() && forwarded.home != this->settings.address) {
-        this->sendFlowQueryReply(key, forwarded.home, false, actions); // Ends its lookup: one search is enough.
+        // Not a denial: the first agent may still search for the flow later.
+        actions.push_back(SendMessage { forwarded.home, FlowQueryReply { .flow = key, .responder = this->settings.address, .mayHoldFlow = true } });
     }
     this->queryPeers(key, search, actions);
     this->endRoundIfComplete(now, FlowKey(key), actions);
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -28,6 +28,58 @@
     network.nodes[index].agent->onMessage(now, message, actions);
 }
 
+/** One agent, and packets on their way through it. */
+struct LookupScene : PacketScene {
+    static constexpr uint16_t port = 7;
+    const Address other { 0x0A010003, 7000 };
+
+    LookupScene()
+    {
+        // The upstream returns a packet of the flow, so that the agent forwards the next ones; the search that follows times out.
+        this->fromUpstream(makePacket(caller(port), packetService, AcknowledgingFlag | ReturnedFlag, 1, 1001, 20));
+        this->wait(1600ms);
+        this->searchesBefore = this->agent.counters().get(Counter::Searches);
+    }
+
+    /** Advances the clock in ticks of 50 ms. */
+    void wait(Duration span)
+    {
+        (void)this->report(this->sequence++);
+        for (const TimePoint end = this->now + span; this->now < end;) {
+            this->advance(50ms);
+        }
+    }
+
+    /** A data packet of the flow arrives. */
+    void arrive(Address home, uint8_t hops, std::vector<Address> candidates)
+    {
+        ForwardedPacket packet = this->forwarded(dataPacket(port, 0));
+        packet.home = home;
+        packet.hops = hops;
+        packet.candidates = std::move(candidates);
+        this->actions.clear();
+        this->agent.onMessage(this->now, packet, this->actions);
+    }
+
+    /** Replies on the flow that the agent sent to @p to. */
+    std::vector<FlowQueryReply> repliesTo(Address to) const
+    {
+        std::vector<FlowQueryReply> result;
+        for (const SendMessage* send : this->actionsOf<SendMessage>()) {
+            if (const auto* reply = std::get_if<FlowQueryReply>(&send->message); reply != nullptr && send->to == to) {
+                result.push_back(*reply);
+            }
+        }
+        return result;
+    }
+
+    /** Searches that began since the constructor. */
+    uint64_t searches() const { return this->agent.counters().get(Counter::Searches) - this->searchesBefore; }
+
+    uint64_t sequence = 2;
+    uint64_t searchesBefore = 0;
+};
+
 } // namespace
 
 TEST_GROUP(PacketLookup) {};
@@ -122,6 +174,26 @@
     }
 }
 
+/** Guards against a lookup that is ended by the late denial of an agent, for a search that timed out before. */
+TEST(PacketLookup, ALateDenialDoesNotEndALookup)
+{
+    PacketNetwork network(6);
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.open(5, port);
+    }
+    network.advance(15s);
+    network.nodes[1].isRunning = false;
+    TimePoint now = networkStart + 15s;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.nodes[5].deliveries = 0;
+        network.send(0, dataPacket(port, 5), { packetAgent(0), packetAgent(1), packetAgent(2), packetAgent(3) });
+        receive(network, 0, now, FlowQueryReply { flowOf(port), packetAgent(3) });
+        network.advance(firstRetransmission);
+        now += firstRetransmission;
+        CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    }
+}
+
 /**
  * Guards against an agent that resets an open flow of its own upstream: it searched for the flow since it had just restarted and
  * took the upstream for absent, and then the upstream sent a packet of the flow.
@@ -152,3 +224,59 @@
     }
     CHECK_EQUAL(0, std::count_if(actions.begin(), actions.end(), [](const Action& action) { return std::holds_alternative<SendToCaller>(action); }));
 }
+
+TEST(PacketLookup, ASearchBeginsOnlyIfTheOwnerDoesNotReport)
+{
+    for (const bool isReported : { true, false }) {
+        LookupScene scene;
+        scene.arrive({}, 0, { scene.agent.self().address, scene.other });
+        CHECK_EQUAL(1, scene.actionsOf<SendMessage>().size());
+        if (isReported) {
+            scene.agent.onMessage(scene.now, FlowQueryReply { flowOf(LookupScene::port), scene.other, scene.other }, scene.actions);
+        }
+        scene.wait(firstRetransmission);
+        CHECK_EQUAL(isReported ? 0 : 1, scene.searches());
+    }
+}
+
+TEST(PacketLookup, AProbeOnTheWayDelaysTheSearch)
+{
+    LookupScene scene;
+    scene.arrive({}, 0, { scene.agent.self().address, scene.other });
+    scene.wait(50ms);
+    scene.agent.onMessage(scene.now, FlowQueryReply { .flow = flowOf(LookupScene::port), .responder = scene.other, .mayHoldFlow = true }, scene.actions);
+    scene.wait(50ms);
+    CHECK_EQUAL(0, scene.searches());
+    scene.wait(50ms);
+    CHECK_EQUAL(1, scene.searches());
+}
+
+TEST(PacketLookup, OnlyTheFirstAgentLooksUpAndTheOthersReportToIt)
+{
+    LookupScene scene;
+    const Address first { 0x0A010009, 7000 };
+    scene.arrive(first, 1, { first, scene.agent.self().address, scene.other });
+    CHECK_EQUAL(0, scene.repliesTo(first).size());
+    scene.wait(firstRetransmission);
+    CHECK_EQUAL(0, scene.searches());
+    scene.arrive(first, 1, { scene.agent.self().address });
+    CHECK_EQUAL(1, scene.searches()); // No candidate is left.
+    CHECK_TRUE(scene.repliesTo(first).front().mayHoldFlow);
+    scene.open(LookupScene::port);
+    scene.arrive(first, 1, { scene.agent.self().address });
+    CHECK_TRUE(scene.repliesTo(first).front().owner == scene.agent.self().address);
+    scene.arrive({}, 1, { scene.agent.self().address });
+    CHECK_EQUAL(0, scene.repliesTo(first).size());
+}
+
+TEST(PacketLookup, TheOwnerReportsToTheFirstAgentThoughAnUpstreamReturnedThePacket)
+{
+    LookupScene scene;
+    const Address first { 0x0A010009, 7000 };
+    scene.wait(11s); // The agent forgets that the flow is not here, and probes.
+    scene.arrive(first, 1, { scene.agent.self().address });
+    CHECK_EQUAL(1, scene.actionsOf<SendToUpstream>().size());
+    CHECK_TRUE(scene.repliesTo(first).front().mayHoldFlow);
+    scene.fromUpstream(makePacket(caller(LookupScene::port), packetService, AcknowledgingFlag | ReturnedFlag, 1, 1001, 20));
+    CHECK_TRUE(scene.repliesTo(first).front().mayHoldFlow); // Its search is reported to the same agent.
+}
