A process that was suspended reads its messages before it searches

Cause: after a pause all lookups are overdue, while the owners' reports wait in the socket: the first tick began a search for each (50 in the test, which failed before). And a lookup that met the limits of searches was dropped without one.

Change: after a pause lookups get their time anew, and an overdue one stays until the limits allow its search.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -163,6 +163,7 @@
     void tickLookups(TimePoint now, Actions& actions);
 
     // packet_search.cpp
+    bool maySearch() const;
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     std::set<Address> peersWithUpstream() const;
     void queryPeers(const FlowKey& flow, const Search& search, Actions& actions);
--- a/src/packet/packet_lookup.cpp
+++ b/src/packet/packet_lookup.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Duration reportTimeout = 60ms; ///< 20 trips between zones; a search can end before the caller's first retransmission. Each notice extends it.
+    constexpr Duration pauseThreshold = 300ms; ///< A longer time between two ticks: the process was suspended, so reports may wait in its socket.
     constexpr size_t maximumLookups = 1024; ///< Limits memory, as each holds a packet. Retransmissions of further flows start again.
 
 } // namespace
@@ -48,16 +49,22 @@
     }
 }
 
-/** Begins a search for each flow whose packet has been without a notice for too long. */
+/** Begins a search for each flow whose owner has not reported in time, as far as the limits of searches allow. */
 void PacketAgent::tickLookups(TimePoint now, Actions& actions)
 {
+    const bool wasPaused = now - this->lastTick > pauseThreshold;
     std::vector<FlowKey> overdue;
-    for (const auto& [flow, lookup] : this->lookups) {
-        if (now >= lookup.dueAt) {
+    for (auto& [flow, lookup] : this->lookups) {
+        if (wasPaused) {
+            lookup.dueAt = std::max(lookup.dueAt, now + reportTimeout);
+        } else if (now >= lookup.dueAt) {
             overdue.push_back(flow);
         }
     }
     for (const FlowKey& flow : overdue) {
+        if (!this->maySearch()) {
+            break;
+        }
         const auto node = this->lookups.extract(flow);
         this->beginSearch(now, node.mapped().packet, actions);
     }
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -15,6 +15,12 @@
 
 } // namespace
 
+/** True if the limits allow one more search now. */
+bool PacketAgent::maySearch() const
+{
+    return this->searchTokens >= 1 && this->searches.size() < maximumSearches;
+}
+
 void PacketAgent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
@@ -22,7 +28,7 @@
         running->second.packet = forwarded;
         return;
     }
-    if (this->searchTokens < 1 || this->searches.size() >= maximumSearches) {
+    if (!this->maySearch()) {
         this->count.add(Counter::SearchesLimited);
         this->events.log(EventLevel::Info, "packet-dropped",
             {
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -225,6 +225,24 @@
     CHECK_EQUAL(0, std::count_if(actions.begin(), actions.end(), [](const Action& action) { return std::holds_alternative<SendToCaller>(action); }));
 }
 
+/** Guards against thousands of messages after a process was suspended: its lookups were overdue, the owners' reports unread in its socket. */
+TEST(PacketLookup, ASuspendedAgentReadsItsMessagesBeforeItSearches)
+{
+    PacketNetwork network(6);
+    network.open(5, 1);
+    network.advance(15s);
+    Actions actions;
+    PacketAgent& agent = *network.nodes[0].agent;
+    TimePoint now = networkStart + 15s;
+    for (uint16_t port = 100; port < 150; ++port) { // Flows that it has returned before, so that it forwards their packets.
+        agent.onUpstreamPacket(now, makePacket(caller(port), packetService, AcknowledgingFlag | ReturnedFlag, 1, 77, 20), actions);
+    }
+    const size_t before = agent.counters().get(Counter::Searches);
+    now += 2s;
+    agent.tick(now, actions);
+    CHECK_EQUAL(before, agent.counters().get(Counter::Searches));
+}
+
 TEST(PacketLookup, ASearchBeginsOnlyIfTheOwnerDoesNotReport)
 {
     for (const bool isReported : { true, false }) {
