A flow that is opened anew from the port of a closed one is a new flow

What callers could see: the reset or loss of an open flow whose port was used by another one within 3 s.

Cause: the agent delivered the opening packet, but went on with the closed flow's entry: the balancer got no outcome and offered the opening elsewhere, and the entry was forgotten 3 s later while the new flow idled.

Change: an opening for a closed flow is handled as one of an unknown flow. The test failed before.

--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -90,7 +90,8 @@
 bool PacketAgent::handleKnownFlow(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
 {
     if (segment.isOpening) {
-        if (flow.stage == FlowStage::OpeningSent && this->isUpstreamSilent(now)) {
+        // The caller opens a closed flow anew from the same port.
+        if (flow.stage == FlowStage::Closed || (flow.stage == FlowStage::OpeningSent && this->isUpstreamSilent(now))) {
             this->eraseFlow(forwarded.packet.flow);
             return false;
         }
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -225,6 +225,24 @@
     CHECK_EQUAL(0, std::count_if(actions.begin(), actions.end(), [](const Action& action) { return std::holds_alternative<SendToCaller>(action); }));
 }
 
+/**
+ * Guards against an open flow that its agent forgets after 3 s: the caller opened it from a port whose earlier flow had just closed, and
+ * the agent went on with the earlier flow's state.
+ */
+TEST(PacketLookup, AFlowOpenedAnewFromTheSamePortIsNotForgotten)
+{
+    PacketScene scene;
+    scene.open(1);
+    scene.receive(makePacket(caller(1), packetService, AcknowledgingFlag | FinishingFlag, 1, 1001));
+    scene.fromUpstream(makePacket(packetService, caller(1), AcknowledgingFlag | FinishingFlag, 1001, 2));
+    scene.receive(makePacket(caller(1), packetService, OpeningFlag));
+    scene.fromUpstream(makePacket(packetService, caller(1), OpeningFlag | AcknowledgingFlag, 5000, 1));
+    CHECK_FALSE(scene.actionsOf<SendMessage>().empty()); // The balancer waits for the outcome and would offer the packet to another agent.
+    scene.receive(makePacket(caller(1), packetService, AcknowledgingFlag, 1, 5001));
+    scene.advance(4s);
+    CHECK_EQUAL(1, scene.agent.flowCount());
+}
+
 /** Guards against thousands of messages after a process was suspended: its lookups were overdue, the owners' reports unread in its socket. */
 TEST(PacketLookup, ASuspendedAgentReadsItsMessagesBeforeItSearches)
 {
