Packet agents keep half-open flows for as long as their upstream may hold them

Callers could see: a caller whose first acknowledgement reached no upstream for 2 s after the answer to its opening (balancers down or cut off, packets lost) was treated as the caller of an unknown flow. Its packets went past the owner's agent along the candidates, were sent as probes to upstreams that did not own the flow, or started a search; an agent that had seen all flows of its upstream denied a flow that its upstream accepted a moment later. The reverse as well: an agent whose upstream answered a second copy of the opening forgot after 2 s that the caller had chosen another answer, and probed its upstream with packets of the open flow.

Cause: entries in the stage OpeningAnswered expired 2 s after the opening packet. An upstream repeats its answer at intervals of 200 ms to 1.6 s, 9.4 s in all, and a caller that has the answer repeats its first packet until its time budget ends.

Ruled out: an entry in the stage OpeningSent, which still expires after 2 s: the caller has no answer and gives up after 1.4 s, and an answer that comes later makes a new entry.

Change: OpeningAnswered expires 12 s after the last packet of the handshake. After 2 s the flow's slot and its place against the connection limit are given back, as before. The check of the caller's first acknowledgement is unchanged. A probe request for a flow whose caller acknowledges another upstream's answer is now denied instead of ignored, or searches would wait for up to 12 s for this agent; only by an agent that knows all flows of its upstream.

Why it works: as long as the upstream can accept the first packet, the agent has the sequence number of the answer, which tells whether the packet is for its upstream, without a probe or a search.

--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -70,7 +70,7 @@
     if (this->refusalBackoff.isPaused(now)) {
         return Obstacle::Refusing;
     }
-    if (this->flows.size() >= rule->connections) {
+    if (this->flows.size() - this->unclaimedFlows >= rule->connections) {
         return Obstacle::Connections;
     }
     return this->coldStartLimiter.mayOpen(now) ? Obstacle::None : Obstacle::Cold;
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -117,6 +117,7 @@
 
     // packet_flow.cpp
     void setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting);
+    void setUnclaimed(PacketFlow& flow, bool isUnclaimed);
     void eraseFlow(const FlowKey& key);
     void expireFlows(TimePoint now);
 
@@ -180,6 +181,7 @@
     std::unordered_map<FlowKey, Search> searches;
     std::vector<HeldOpening> heldOpenings;
     size_t flowsAwaitingAnswer = 0; ///< Number of flows with isAwaitingAnswer: they take the upstream's slots and queue places.
+    size_t unclaimedFlows = 0; ///< Number of flows with isUnclaimed.
     uint32_t pendingRequests = 0; ///< Requests that were delivered to the upstream and not answered yet.
     LatencyHistogram handshakeLatencies; ///< From an opening packet to the upstream's answer.
     LatencyHistogram answerLatencies; ///< From a caller's data to the first data of the upstream's answer.
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -6,7 +6,9 @@
 namespace {
 
     constexpr Duration expiryPeriod = 500ms;
-    constexpr Duration unopenedTimeout = 2s; ///< For the opening handshake; a caller gives up after 1.4 s.
+    constexpr Duration unopenedTimeout = 2s; ///< For the opening handshake; a caller without an answer gives up after 1.4 s.
+    /** After the last packet of a handshake: an upstream repeats its answer for 9.4 s, at intervals of up to 1.6 s, before it drops its half. */
+    constexpr Duration halfOpenKeepTime = 12s;
     constexpr Duration probeTimeout = 3s; ///< For the upstream's answer to a probe.
     constexpr Duration closedKeepTime = 3s; ///< For late packets; twice the longest interval between two retransmissions.
     constexpr Duration idleTimeoutMargin = 20s; ///< Idle flows are kept for this long beyond flowIdleTimeout.
@@ -28,12 +30,22 @@
     flow.awaitingSince = now;
 }
 
+/** Counts or no longer counts a flow as one whose caller has not used the upstream's answer in time. */
+void PacketAgent::setUnclaimed(PacketFlow& flow, bool isUnclaimed)
+{
+    if (flow.isUnclaimed != isUnclaimed) {
+        flow.isUnclaimed = isUnclaimed;
+        this->unclaimedFlows = isUnclaimed ? this->unclaimedFlows + 1 : this->unclaimedFlows - 1;
+    }
+}
+
 /** Erases a flow, if known, and no longer counts it as waiting. */
 void PacketAgent::eraseFlow(const FlowKey& key)
 {
     const auto found = this->flows.find(key);
     if (found != this->flows.end()) {
         this->setAwaitingAnswer(found->second.awaitingSince, found->second, false);
+        this->setUnclaimed(found->second, false);
         this->flows.erase(found);
     }
 }
@@ -50,8 +62,13 @@
         if (flow.isAwaitingAnswer && now - flow.awaitingSince >= requestTimeout) {
             this->setAwaitingAnswer(now, flow, false);
         }
-        const bool isUnopened = flow.stage == FlowStage::OpeningSent || flow.stage == FlowStage::OpeningAnswered;
-        const bool isExpired = (isUnopened && now - flow.createdAt >= unopenedTimeout)
+        if (flow.stage == FlowStage::OpeningAnswered && now - flow.createdAt >= unopenedTimeout) {
+            // The caller has the answer and may still send its first packet: only slot and connection are given back.
+            this->setAwaitingAnswer(now, flow, false);
+            this->setUnclaimed(flow, true);
+        }
+        const bool isExpired = (flow.stage == FlowStage::OpeningSent && now - flow.createdAt >= unopenedTimeout)
+            || (flow.stage == FlowStage::OpeningAnswered && now - flow.lastPacketAt >= halfOpenKeepTime)
             || (flow.stage == FlowStage::Probing && now - flow.lastPacketAt >= probeTimeout)
             || (flow.stage == FlowStage::Closed && now - flow.lastPacketAt >= closedKeepTime)
             || now - flow.lastPacketAt >= this->settings.flowIdleTimeout + idleTimeoutMargin;
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -31,6 +31,7 @@
 struct PacketFlow {
     FlowStage stage = FlowStage::OpeningSent;
     bool isAwaitingAnswer = false; ///< The flow was opened or its caller sent data, and the upstream has sent no data since.
+    bool isUnclaimed = false; ///< The caller has not used the upstream's answer in time: the flow does not count against the connection limit.
     uint32_t requestsAtArrival = 0; ///< Requests at the upstream when the flow's pending one arrived, itself included; 0 if none is.
     bool hasCallerFinished = false; ///< The caller has closed its end.
     bool hasUpstreamFinished = false; ///< The upstream has closed its end.
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -85,6 +85,7 @@
             return false;
         }
         flow.stage = FlowStage::Open;
+        this->setUnclaimed(flow, false);
         break;
     case FlowStage::Probing:
         // The upstream has not returned the probe, so it counts as holding the flow even without an answer: not every packet requires one.
@@ -237,9 +238,15 @@
 void PacketAgent::handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
+    const auto flow = this->flows.find(key);
     if (this->mayUpstreamHold(now, key)) {
         this->probeUpstream(now, segment, forwarded, actions);
-    } else if (!this->flows.contains(key)) {
+        return;
+    }
+    // The caller acknowledges another upstream's answer: the half here is not its flow, if the agent saw all of the flow.
+    const bool isElsewhere = flow != this->flows.end() && flow->second.stage == FlowStage::OpeningAnswered && segment.isAcknowledging
+        && !this->mayUpstreamHoldUnknownFlows(now);
+    if (flow == this->flows.end() || isElsewhere) {
         this->sendFlowQueryReply(key, forwarded.searcher, false, actions);
     }
 }
