Packet agents keep a flow whose upstream returns a copy of its opening packet

Callers could see: a retransmitted opening packet that arrives after its original was accepted (delayed, or through another balancer), and that the upstream returns, made the agent forget the flow, also an open one. Packets of it went to other agents and upstreams, and where the agent knows all other flows of its upstream it denied this one, so that a search could end with a reset. Besides, the balancer of the copy was told that it was refused, or had no answer if the upstream kept it: it offered the packet to other agents, a second upstream opened a half of the flow, and the agent was avoided for 3 s.

Cause: handleReturnedPacket erased the entry of a returned opening packet whatever its stage, and an outcome was reported only for the first answer of the upstream.

Ruled out: that the returned copy shows an upstream that lost the flow. An upstream that ended and started again returns the next packet of the flow too, and the agent then resets it as before. A returned copy of an opening that the upstream has not answered still erases the entry, pauses openings and is reported as refused.

Change: in the stages OpeningAnswered and Open the agent reports a copy as accepted when it arrives, and keeps the entry when the upstream returns it. Such a copy does not pause openings either, since it says nothing about new flows.

Why it works: the balancer learns the owner at once and sends later packets there, and only packets other than openings can end an entry in these stages by their return.

The three new tests fail on the code before, one for each effect: the report, the open flow, the half-open flow.

--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -116,7 +116,9 @@
             this->eraseFlow(key);
             return;
         }
-        if (stage == FlowStage::Closed) {
+        const bool isAcceptedCopy = segment.isOpening && (stage == FlowStage::OpeningAnswered || stage == FlowStage::Open);
+        if (stage == FlowStage::Closed || isAcceptedCopy) {
+            // The upstream took the original of this copy and holds the flow; the balancer was told when the copy arrived.
             return;
         }
         const Address searcher = found->second.searcher;
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -74,6 +74,10 @@
         }
         flow.balancer = forwarded.balancer;
         this->deliverToUpstream(now, flow, segment, forwarded.packet.payload, actions);
+        if (flow.stage == FlowStage::OpeningAnswered || flow.stage == FlowStage::Open) {
+            // Whatever the upstream does with a copy: a balancer without an answer would offer it to another agent.
+            this->reportOutcome(now, forwarded.packet.flow, OpeningResult::Accepted, flow.balancer, actions);
+        }
         return true;
     }
     switch (flow.stage) {
--- a/tests/packet_flow_test.cpp
+++ b/tests/packet_flow_test.cpp
@@ -122,3 +122,73 @@
     CHECK_FALSE(reply.owner.isValid());
     CHECK_FALSE(reply.mayHoldFlow);
 }
+
+namespace {
+
+/** Results that the agent reported to balancers for opening packets since the actions were last cleared. */
+std::vector<OpeningResult> outcomes(const PacketScene& scene)
+{
+    std::vector<OpeningResult> results;
+    for (const SendMessage* send : scene.actionsOf<SendMessage>()) {
+        if (const auto* outcome = std::get_if<OpeningOutcome>(&send->message)) {
+            results.push_back(outcome->result);
+        }
+    }
+    return results;
+}
+
+/** The caller's retransmission of its opening packet arrives, and the upstream, which has accepted the original, returns it. */
+void returnCopy(PacketScene& scene, uint16_t port)
+{
+    Bytes copy = makePacket(caller(port), packetService, OpeningFlag, 0, 1);
+    scene.receive(copy);
+    CHECK_EQUAL(1, scene.actionsOf<SendToUpstream>().size());
+    copy[8] |= ReturnedFlag;
+    scene.fromUpstream(copy);
+}
+
+} // namespace
+
+/**
+ * Guards against a second half-open flow: a balancer that gets no answer for a copy, or is told that it was refused, offers it to
+ * other agents, though the flow is here.
+ */
+TEST(PacketFlow, ACopyOfAnAcceptedOpeningIsReportedAsAccepted)
+{
+    PacketScene scene;
+    for (uint16_t port = 1; port <= 2; ++port) {
+        port == 1 ? openHalf(scene, port) : scene.open(port);
+        Bytes copy = makePacket(caller(port), packetService, OpeningFlag, 0, 1);
+        scene.receive(copy);
+        CHECK(outcomes(scene) == std::vector { OpeningResult::Accepted });
+        copy[8] |= ReturnedFlag;
+        scene.fromUpstream(copy);
+        CHECK(outcomes(scene).empty());
+    }
+}
+
+/** Guards against an agent that forgets an open flow because the upstream returns a copy of its opening packet. */
+TEST(PacketFlow, AReturnedCopyOfAnOpeningLeavesTheOpenFlowKnown)
+{
+    PacketScene scene;
+    scene.open(1);
+    returnCopy(scene, 1);
+    CHECK(query(scene, 1).owner == scene.agent.self().address);
+    scene.receive(makePacket(caller(1), packetService, AcknowledgingFlag, 1, 1001, 20));
+    CHECK_EQUAL(1, scene.actionsOf<SendToUpstream>().size());
+    CHECK_EQUAL(0, scene.agent.counters().get(Counter::FlowsProbed));
+}
+
+/** Guards against an agent that forgets a half-open flow because the upstream returns a copy of its opening packet. */
+TEST(PacketFlow, AReturnedCopyOfAnOpeningLeavesTheHalfOpenFlowKnown)
+{
+    PacketScene scene;
+    openHalf(scene, 1);
+    returnCopy(scene, 1);
+    scene.receive(makePacket(caller(2), packetService, OpeningFlag)); // The upstream has refused no new flow.
+    CHECK_EQUAL(1, scene.actionsOf<SendToUpstream>().size());
+    scene.receive(makePacket(caller(1), packetService, AcknowledgingFlag, 1, 1001, 20));
+    CHECK_EQUAL(1, scene.actionsOf<SendToUpstream>().size());
+    CHECK_EQUAL(0, scene.agent.counters().get(Counter::FlowsProbed));
+    CHECK(query(scene, 1).owner == scene.agent.self().address);
+}
