--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -97,6 +97,10 @@
         }
         flow.balancer = forwarded.balancer;
         this->deliverToUpstream(now, flow, segment, forwarded.packet.payload, actions);
+        if (flow.stage == FlowStage::OpeningAnswered || flow.stage == FlowStage::Open) {
+            // Whatever the upstream does with a copy: a balancer without an answer would offer it to another agent.
+            this->reportOutcome(now, forwarded.packet.flow, OpeningResult::Accepted, flow.balancer, actions);
+        }
         return true;
     }
     switch (flow.stage) {
@@ -108,6 +112,7 @@
             return false;
         }
         flow.stage = FlowStage::Open;
+        this->setUnclaimed(flow, false);
         if (flow.home.isValid() && flow.home != this->settings.address) {
             this->sendFlowQueryReply(forwarded.packet.flow, flow.home, true, actions);
         }
@@ -267,9 +272,15 @@
 void PacketAgent::handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
+    const auto flow = this->flows.find(key);
     if (this->mayUpstreamHold(now, key)) {
         this->probeUpstream(now, segment, forwarded, actions);
-    } else if (!this->flows.contains(key)) {
+        return;
+    }
+    // The caller acknowledges another upstream's answer: the half here is not its flow, if the agent saw all of the flow.
+    const bool isElsewhere = flow != this->flows.end() && flow->second.stage == FlowStage::OpeningAnswered && segment.isAcknowledging
+        && !this->mayUpstreamHoldUnknownFlows(now);
+    if (flow == this->flows.end() || isElsewhere) {
         this->sendFlowQueryReply(key, forwarded.searcher, false, actions);
     }
 }
