A deregistration counts only for the upstream that it names

Callers: an upstream that has just started gets no new flow, and its agent denies its open flows in searches, until its next heartbeat, up to a second later.

Cause: the agent compared start times only, and dropped the deregistration of an earlier lifetime only if it stated one. So each deregistration was taken for one of the latest upstream.

Ruled out: that the id in the path is unreliable. Heartbeats of the same lifetime name the same id in their path.

Change: the id from the path is compared too. Without a start time a deregistration needs the id of the latest report; with one it must be of that lifetime or a later one. A dropped one is logged as report-dropped.

PacketLeave.ADeregistrationOfAnotherUpstreamIsDropped fails with the former comparison (line 72, id "u0" without start time). One case remains: the earlier lifetime had the same id and stated no start time. The next heartbeat ends that.

--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -132,7 +132,7 @@
             return this->agent.onUpstreamReport(Process::now(), report);
         }
 
-        void onDeregistered(std::optional<uint64_t> started) override { this->agent.onUpstreamDeregistered(Process::now(), started); }
+        void onDeregistered(std::string_view id, std::optional<uint64_t> started) override { this->agent.onUpstreamDeregistered(Process::now(), id, started); }
 
         platform::PacketCodec codec;
         EventLog events;
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -35,6 +35,18 @@
         };
     }
 
+    /**
+     * True if a deregistration of upstream @p id is by the lifetime of the latest report or by a later one. An upstream may start
+     * again under its former id, and not every deregistration states the start time.
+     */
+    bool isLatestUpstream(std::string_view id, std::optional<uint64_t> started, const UpstreamReport& latest)
+    {
+        if (!started || !latest.started) {
+            return id == latest.id;
+        }
+        return *started > *latest.started || (*started == *latest.started && id == latest.id);
+    }
+
 } // namespace
 
 PacketAgent::PacketAgent(const PacketAgentSettings& settings, const SegmentCodec& codec, Random& random, EventSink& events)
@@ -167,11 +179,16 @@
         });
 }
 
-void PacketAgent::onUpstreamDeregistered(TimePoint /*now*/, std::optional<uint64_t> started)
+void PacketAgent::onUpstreamDeregistered(TimePoint /*now*/, std::string_view id, std::optional<uint64_t> started)
 {
-    const bool isEarlier = started && this->latestReport && this->latestReport->started && *started < *this->latestReport->started;
-    if (isEarlier) {
+    if (this->latestReport && !isLatestUpstream(id, started, *this->latestReport)) {
         this->count.add(Counter::ReportsDropped);
+        this->events.log(EventLevel::Warning, "report-dropped",
+            {
+                { "upstream", std::string(id) },
+                { "reason", "a deregistration of another lifetime" },
+                { "held", this->latestReport->id },
+            });
         return;
     }
     this->events.log(EventLevel::Info, "upstream-ended",
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -48,8 +48,8 @@
     /** Handles a report of the upstream. @return False if the report was dropped as outdated. */
     bool onUpstreamReport(TimePoint now, const UpstreamReport& report);
 
-    /** Handles the upstream's message that it shuts down. @param started Its start, Unix milliseconds; none if not stated. */
-    void onUpstreamDeregistered(TimePoint now, std::optional<uint64_t> started);
+    /** Handles the message of upstream @p id that it shuts down. @param started Its start, Unix milliseconds; none if not stated. */
+    void onUpstreamDeregistered(TimePoint now, std::string_view id, std::optional<uint64_t> started);
 
     /** Handles a snapshot that was fetched from another process. */
     void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions);
