An agent that stops after its upstream has ended announces that it leaves

Callers: the packets of an idle flow got no answer for up to 5 s whenever their way passed an agent that had ended.

Cause: the packet agent ended with its member record "draining, alive". Balancers held it alive for 3 s after its last announcement and suspect for 2.5 s more; until then it was a candidate, and other agents forwarded packets of unknown flows to it.

Ruled out: slow gossip. Balancers had agreed 0.09 to 0.30 s after the first one declared an agent gone; the time before that was the failure detection's.

Change: an agent that gets SIGTERM after its upstream's deregistration, or that has no upstream at all, leaves the membership. It sends the leave to eight balancers and again each 100 ms, and forwards packets for 1 s before it ends. Beside a living upstream it stays a member as before: the process that takes over serves the open flows, and others would reset them if the agent counted as left.

Why it works: a balancer that has the leave drops the agent from its candidates at its next tick (50 ms) and tells other agents in its reply to their next announcement (1 s); for that long the agent still forwards. Other agents may lag by up to about 0.4 s more.

With the former packet_agent.cpp and peer.cpp three tests of PacketLeave fail: AnAgentWhoseUpstreamHasDeregisteredLeavesWhenItStops, ALeaveIsSentAgainAndToMoreBalancersThanAnAnnouncement and the lifetimes' test (now AnAgentBesideALaterUpstreamDoesNotLeave, which then also required a leave). If each stop is a leave, AnAgentBesideALivingUpstreamDoesNotLeave fails. The three tests of the balancer's side passed before: that side was right.

--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -11,8 +11,8 @@
 
     constexpr size_t announceFanOut = 2; ///< Balancers that an agent announces itself to.
     constexpr Duration announcePeriod = 1s;
-    constexpr size_t bootstrapFanOut = 8; ///< Instead of announceFanOut until the view is first synchronized.
-    constexpr Duration bootstrapAnnouncePeriod = 100ms; ///< Instead of announcePeriod until the view is first synchronized.
+    constexpr size_t urgentFanOut = 8; ///< Instead of announceFanOut until the view is first synchronized, and after the leave.
+    constexpr Duration urgentAnnouncePeriod = 100ms; ///< Instead of announcePeriod until the view is first synchronized, and after the leave.
     constexpr Duration replyTimeout = 2500ms; ///< A balancer without a reply for this long is avoided.
     constexpr Duration avoidTime = 5s; ///< Time for which a balancer is avoided.
     constexpr size_t maximumBalancers = 64; ///< Balancers that an agent remembers.
@@ -89,6 +89,15 @@
     }
 }
 
+/**
+ * True while the view is not synchronized, and after the leave: until the balancers know of it, they and through them the other
+ * agents send packets to an agent that is about to end, and it can repeat a lost message only for the short time until then.
+ */
+bool PeerSystem::isAnnouncingUrgently() const
+{
+    return !this->firstSynchronized || this->own.liveness == Liveness::Gone;
+}
+
 std::vector<Address> PeerSystem::announceTargets(TimePoint now) const
 {
     std::vector<std::pair<uint64_t, Address>> ranked;
@@ -99,7 +108,7 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<Address> result;
-    const size_t fanOut = this->firstSynchronized ? announceFanOut : bootstrapFanOut;
+    const size_t fanOut = this->isAnnouncingUrgently() ? urgentFanOut : announceFanOut;
     for (size_t rank = 0; rank < std::min(ranked.size(), fanOut); ++rank) {
         result.push_back(ranked[rank].second);
     }
@@ -130,7 +139,7 @@
     }
     for (Address target : this->announceTargets(now)) {
         if (this->isAnnounceDue
-            || now - this->balancers[target].sent >= (this->firstSynchronized ? announcePeriod : bootstrapAnnouncePeriod)) {
+            || now - this->balancers[target].sent >= (this->isAnnouncingUrgently() ? urgentAnnouncePeriod : announcePeriod)) {
             this->announce(now, target, haveRevision, actions);
         }
     }
@@ -158,8 +167,9 @@
 
 void PeerSystem::setSelf(MemberState state, uint16_t weight, uint16_t slots)
 {
-    if (this->own.state == state && this->own.weight == weight && this->own.slots == slots) {
-        return;
+    const bool isUnchanged = this->own.state == state && this->own.weight == weight && this->own.slots == slots;
+    if (isUnchanged || this->own.liveness == Liveness::Gone) {
+        return; // The record of the leave is final.
     }
     this->own.state = state;
     this->own.weight = weight;
--- a/src/agent/peer_base.h
+++ b/src/agent/peer_base.h
@@ -44,7 +44,7 @@
     /** Changes the agent's own record; a change is announced at the next tick. */
     void setSelf(MemberState state, uint16_t weight, uint16_t slots);
 
-    /** Announces that this agent is gone. */
+    /** Announces that this agent is gone. Later ticks announce it again, as long as the process runs. */
     void leave(TimePoint now, Revision revision, Actions& actions);
 
     const MemberRecord& self() const { return this->own; }
@@ -84,6 +84,7 @@
     /** Agents that became gone within @p age while they may have owned flows. */
     size_t countRecentlyLost(TimePoint now, Duration age) const;
     void announce(TimePoint now, Address balancer, Revision revision, Actions& actions);
+    bool isAnnouncingUrgently() const;
     /** Balancers to announce to, chosen by rendezvous hashing. */
     std::vector<Address> announceTargets(TimePoint now) const;
 
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -20,6 +20,7 @@
 namespace {
 
     constexpr Duration finalSendTime = 100ms; ///< Lets the last messages go out. Flows are not drained: the process that takes over after a restart carries them on.
+    constexpr Duration leaveTime = 1s; ///< Instead of finalSendTime after a leave: until all balancers know of it, they send packets here, which are forwarded.
 
     class PacketAgentProcess final : public Process, public SeedFinder::Listener, public platform::ReportListener {
     public:
@@ -89,7 +90,7 @@
         void onStop(TimePoint now, Actions& actions) override
         {
             this->agent.beginStop(now, actions);
-            this->exitTimer.startOnce(finalSendTime, [this] { this->finish(ExitCode::Done); });
+            this->exitTimer.startOnce(this->agent.hasLeft() ? leaveTime : finalSendTime, [this] { this->finish(ExitCode::Done); });
         }
 
         void onReload() override
@@ -145,7 +146,7 @@
         std::unique_ptr<UdpSocket> upstream; ///< Packets to and from the upstream, and to callers.
         std::unique_ptr<CallerSender> callerSender; ///< Sends by @c upstream.
         std::unique_ptr<HttpServer> reports; ///< Endpoint for the reports of the upstream.
-        LoopTimer exitTimer; ///< Ends the process after finalSendTime.
+        LoopTimer exitTimer; ///< Ends the process after the signal to stop.
     };
 
 } // namespace
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -306,11 +306,29 @@
     this->lastTick = now;
 }
 
+/**
+ * True if there is no upstream any more, so that all its flows have ended. One that only shows no sign of life may still hold flows.
+ * So may another one than that which deregistered, if none has reported to this process.
+ */
+bool PacketAgent::hasUpstreamEnded(TimePoint now) const
+{
+    return (this->hasDeregistered && this->latestReport) || this->isUpstreamAbsent(now);
+}
+
+/**
+ * An agent that stops beside a living upstream does not leave: the process that takes over serves the upstream's open flows, and
+ * other agents must not take them for ended in the meantime.
+ */
 void PacketAgent::beginStop(TimePoint now, Actions& actions)
 {
     this->isStopping = true;
     this->updateOwnRecord(now);
-    this->peers.tick(now, this->follower.revision(), actions);
+    if (!this->hasUpstreamEnded(now)) {
+        this->peers.tick(now, this->follower.revision(), actions);
+        return;
+    }
+    this->events.log(EventLevel::Info, "agent-left", { { "flows", std::to_string(this->flows.size()) } });
+    this->peers.leave(now, this->follower.revision(), actions);
 }
 
 MetricsView PacketAgent::metrics() const
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -60,9 +60,12 @@
     /** Does all periodic work that is due; called at short intervals. */
     void tick(TimePoint now, Actions& actions);
 
-    /** Starts to drain this agent: it takes no new flow from now on. */
+    /** Starts to stop this agent: it takes no new flow from now on, and leaves the membership if its upstream has ended. */
     void beginStop(TimePoint now, Actions& actions);
 
+    /** True once this agent has announced that it is gone. It still forwards packets to other agents. */
+    bool hasLeft() const { return this->peers.self().liveness == Liveness::Gone; }
+
     MetricsView metrics() const;
     std::string status(TimePoint now, uint64_t droppedDatagrams) const;
 
@@ -114,6 +117,7 @@
     void updateTable();
     void tickSearches(TimePoint now, Actions& actions);
     bool isUpstreamYoungerThanAgent() const;
+    bool hasUpstreamEnded(TimePoint now) const;
 
     // packet_flow.cpp
     void setAwaitingAnswer(TimePoint now, PacketFlow& flow, bool isAwaiting);
