Flows of a draining agent that was lost are not reset

Callers: a reset on an open flow, while its upstream serves it.

Cause: a flow that every agent denies is reset unless an agent was lost within 5 s, and a member that was gone in state "draining" counted as one that had announced its leave. But an agent is draining from SIGTERM on, also beside a living upstream, and all the while that its upstream drains with open flows. If its process needs longer to start again than the failure detection takes (5 s), or if it is lost or cut off during the drain, all others deny its flows and reset them.

Ruled out: telling the two by the version of the record (a leave raises it). An agent that missed one announcement sees a raised version in a claim of the failure detection, too.

FlowsOfADrainingAgentThatWasLostAreNotReset failed before (line 321); FlowsOfAnAgentThatLeftAreReset failed before for a leave from state ready, and guards the other side: the flows of an agent that left are still reset at once. An agent of the former code that leaves counts as lost for 5 s: callers of its flows wait, which breaks no promise.

--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -182,6 +182,7 @@
 void PeerSystem::leave(TimePoint now, Revision haveRevision, Actions& actions)
 {
     this->own.version += 1;
+    this->own.state = MemberState::NoUpstream; // Tells a leave from a loss: see countRecentlyLost.
     this->own.liveness = Liveness::Gone;
     for (Address target : this->announceTargets(now)) {
         this->announce(now, target, haveRevision, actions);
@@ -225,8 +226,9 @@
     const auto& all = this->peers.all();
     const auto lost = std::count_if(all.begin(), all.end(), [now, age](const auto& entry) {
         const Member& member = entry.second;
-        // An agent that announced its leave was not lost, and one without an upstream owned no flow.
-        const bool mayHaveHadFlows = member.record.state != MemberState::Draining && member.record.state != MemberState::NoUpstream;
+        // An agent without an upstream owned no flow, and neither did one that announced its leave. A draining one that did not
+        // announce it was lost: its upstream may hold flows until it has ended, and the process beside it may be starting again.
+        const bool mayHaveHadFlows = member.record.state != MemberState::NoUpstream;
         return member.record.liveness == Liveness::Gone && mayHaveHadFlows && now - member.changedAt < age;
     });
     return static_cast<size_t>(lost);
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -21,7 +21,7 @@
     Ready, ///< Takes its full share of the work.
     Shedding, ///< Overloaded; refuses new work for now.
     Draining, ///< About to stop; takes no new flow.
-    NoUpstream, ///< Agent that has no upstream yet and so holds no flow.
+    NoUpstream, ///< Agent that holds no flow: it has no upstream yet, or it announced its leave.
 };
 
 /** What other processes believe about a member. Among records of one version the higher value wins. */
--- a/tests/packet_leave_test.cpp
+++ b/tests/packet_leave_test.cpp
@@ -260,3 +260,77 @@
     scene.announce(secondLeave); // A late copy.
     CHECK(scene.liveness(leave.address) == Liveness::Alive);
 }
+
+namespace {
+
+/** An agent with a synchronized view that knows agent 3 and agent 4. */
+struct SearchScene : PacketScene {
+    explicit SearchScene(MemberState stateOfAgent4)
+    {
+        this->agent4.state = stateOfAgent4;
+        this->receivePeers({ agentRecord(3), this->agent4 });
+        this->receivePeers({});
+        this->advance(3s);
+        CHECK(this->report(2));
+    }
+
+    /** Gives the agent a balancer's reply; without peers it confirms that the agent's view is complete. */
+    void receivePeers(std::vector<MemberRecord> peers)
+    {
+        this->agent.onMessage(this->now, AnnounceReply { .balancer = packetBalancer, .revision = 5, .peers = std::move(peers) }, this->actions);
+    }
+
+    /** Searches for the flow of a caller that agent 3 denies in both rounds. @return Whether the caller gets a reset. */
+    bool isUnknownFlowReset(uint16_t port)
+    {
+        const FlowKey flow { caller(port), packetService };
+        Bytes packet = makePacket(caller(port), packetService, AcknowledgingFlag, 1, 77, 20);
+        this->receive(packet);
+        packet[8] |= ReturnedFlag;
+        this->fromUpstream(packet); // The packet goes to all agents that are not gone, and then a search begins.
+        packet[8] &= static_cast<uint8_t>(~ReturnedFlag);
+        ForwardedPacket forwarded = this->forwarded(packet);
+        forwarded.candidates = { { 3, 7000 }, { 4, 7000 } };
+        forwarded.visited = 3;
+        this->agent.onMessage(this->now, forwarded, this->actions);
+        CHECK_EQUAL(1, this->agent.counters().get(Counter::Searches));
+        for (int round = 0; round < 2; ++round) {
+            this->agent.onMessage(this->now, FlowQueryReply { flow, { 3, 7000 }, {} }, this->actions);
+            this->advance(100ms);
+            this->receivePeers({});
+            this->advance(300ms);
+        }
+        return !this->actionsOf<SendToCaller>().empty();
+    }
+
+    MemberRecord agent4 = agentRecord(4);
+};
+
+} // namespace
+
+/**
+ * Guards against a reset of open flows: an agent is stopped beside its living upstream and needs longer to start again than the
+ * failure detection takes, or it is lost while its upstream drains; its state "draining" was taken for an announced leave.
+ */
+TEST(PacketLeave, FlowsOfADrainingAgentThatWasLostAreNotReset)
+{
+    SearchScene scene(MemberState::Draining);
+    scene.agent4.liveness = Liveness::Gone; // The version is the agent's own: the failure detection says this, not the agent.
+    scene.receivePeers({ scene.agent4 });
+    scene.receivePeers({});
+    CHECK_FALSE(scene.isUnknownFlowReset(9));
+}
+
+/** Guards against callers that wait for a reset: the flows of an agent that left have ended, whether or not its upstream had drained. */
+TEST(PacketLeave, FlowsOfAnAgentThatLeftAreReset)
+{
+    for (const MemberState state : { MemberState::Ready, MemberState::Draining }) {
+        SearchScene scene(state);
+        PeerSystem leaving(scene.agent4, scene.random);
+        Actions actions;
+        leaving.leave(scene.now, 5, actions);
+        scene.receivePeers({ leaving.self() });
+        scene.receivePeers({});
+        CHECK(scene.isUnknownFlowReset(9));
+    }
+}
