--- a/src/agent/peer.cpp
+++ b/src/agent/peer.cpp
@@ -11,8 +11,8 @@
 
     constexpr size_t announceFanOut = 2; ///< Balancers that an agent announces itself to.
     constexpr Duration announcePeriod = 1s;
-    constexpr size_t bootstrapFanOut = 8; ///< Instead of announceFanOut until the view is first synchronized.
-    constexpr Duration bootstrapAnnouncePeriod = 100ms; ///< Instead of announcePeriod until the view is first synchronized.
+    constexpr size_t urgentFanOut = 8; ///< Instead of announceFanOut until the view is first synchronized, and after the leave.
+    constexpr Duration urgentAnnouncePeriod = 100ms; ///< Instead of announcePeriod until the view is first synchronized, and after the leave.
     constexpr Duration replyTimeout = 2500ms; ///< A balancer without a reply for this long is avoided.
     constexpr Duration avoidTime = 5s; ///< Time for which a balancer is avoided.
     constexpr size_t maximumBalancers = 64; ///< Balancers that an agent remembers.
@@ -89,6 +89,15 @@
     }
 }
 
+/**
+ * True while the view is not synchronized, and after the leave: until the balancers know of it, they and through them the other
+ * agents send packets to an agent that is about to end, and it can repeat a lost message only for the short time until then.
+ */
+bool PeerSystem::isAnnouncingUrgently() const
+{
+    return !this->firstSynchronized || this->own.liveness == Liveness::Gone;
+}
+
 std::vector<Address> PeerSystem::announceTargets(TimePoint now) const
 {
     std::vector<std::pair<uint64_t, Address>> ranked;
@@ -99,7 +108,7 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<Address> result;
-    const size_t fanOut = this->firstSynchronized ? announceFanOut : bootstrapFanOut;
+    const size_t fanOut = this->isAnnouncingUrgently() ? urgentFanOut : announceFanOut;
     for (size_t rank = 0; rank < std::min(ranked.size(), fanOut); ++rank) {
         result.push_back(ranked[rank].second);
     }
@@ -130,7 +139,7 @@
     }
     for (Address target : this->announceTargets(now)) {
         if (this->isAnnounceDue
-            || now - this->balancers[target].sent >= (this->firstSynchronized ? announcePeriod : bootstrapAnnouncePeriod)) {
+            || now - this->balancers[target].sent >= (this->isAnnouncingUrgently() ? urgentAnnouncePeriod : announcePeriod)) {
             this->announce(now, target, haveRevision, actions);
         }
     }
@@ -158,8 +167,9 @@
 
 void PeerSystem::setSelf(MemberState state, uint16_t weight, uint16_t slots)
 {
-    if (this->own.state == state && this->own.weight == weight && this->own.slots == slots) {
-        return;
+    const bool isUnchanged = this->own.state == state && this->own.weight == weight && this->own.slots == slots;
+    if (isUnchanged || this->own.liveness == Liveness::Gone) {
+        return; // The record of the leave is final.
     }
     this->own.state = state;
     this->own.weight = weight;
@@ -172,6 +182,7 @@
 void PeerSystem::leave(TimePoint now, Revision haveRevision, Actions& actions)
 {
     this->own.version += 1;
+    this->own.state = MemberState::NoUpstream; // Tells a leave from a loss: see countRecentlyLost.
     this->own.liveness = Liveness::Gone;
     for (Address target : this->announceTargets(now)) {
         this->announce(now, target, haveRevision, actions);
@@ -215,8 +226,9 @@
     const auto& all = this->peers.all();
     const auto lost = std::count_if(all.begin(), all.end(), [now, age](const auto& entry) {
         const Member& member = entry.second;
-        // An agent that announced its leave was not lost, and one without an upstream owned no flow.
-        const bool mayHaveHadFlows = member.record.state != MemberState::Draining && member.record.state != MemberState::NoUpstream;
+        // An agent without an upstream owned no flow, and neither did one that announced its leave. A draining one that did not
+        // announce it was lost: its upstream may hold flows until it has ended, and the process beside it may be starting again.
+        const bool mayHaveHadFlows = member.record.state != MemberState::NoUpstream;
         return member.record.liveness == Liveness::Gone && mayHaveHadFlows && now - member.changedAt < age;
     });
     return static_cast<size_t>(lost);
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -35,6 +35,18 @@
         };
     }
 
+    /**
+     * True if a deregistration of upstream @p id is by the lifetime of the latest report or by a later one. An upstream may start
+     * again under its former id, and not every deregistration states the start time.
+     */
+    bool isLatestUpstream(std::string_view id, std::optional<uint64_t> started, const UpstreamReport& latest)
+    {
+        if (!started || !latest.started) {
+            return id == latest.id;
+        }
+        return *started > *latest.started || (*started == *latest.started && id == latest.id);
+    }
+
 } // namespace
 
 PacketAgent::PacketAgent(const PacketAgentSettings& settings, const SegmentCodec& codec, Random& random, EventSink& events)
@@ -170,11 +182,16 @@
         });
 }
 
-void PacketAgent::onUpstreamDeregistered(TimePoint /*now*/, std::optional<uint64_t> started)
+void PacketAgent::onUpstreamDeregistered(TimePoint /*now*/, std::string_view id, std::optional<uint64_t> started)
 {
-    const bool isEarlier = started && this->latestReport && this->latestReport->started && *started < *this->latestReport->started;
-    if (isEarlier) {
+    if (this->latestReport && !isLatestUpstream(id, started, *this->latestReport)) {
         this->count.add(Counter::ReportsDropped);
+        this->events.log(EventLevel::Warning, "report-dropped",
+            {
+                { "upstream", std::string(id) },
+                { "reason", "a deregistration of another lifetime" },
+                { "held", this->latestReport->id },
+            });
         return;
     }
     this->events.log(EventLevel::Info, "upstream-ended",
@@ -293,11 +310,29 @@
     this->lastTick = now;
 }
 
+/**
+ * True if there is no upstream any more, so that all its flows have ended. One that only shows no sign of life may still hold flows.
+ * So may another one than that which deregistered, if none has reported to this process.
+ */
+bool PacketAgent::hasUpstreamEnded(TimePoint now) const
+{
+    return (this->hasDeregistered && this->latestReport) || this->isUpstreamAbsent(now);
+}
+
+/**
+ * An agent that stops beside a living upstream does not leave: the process that takes over serves the upstream's open flows, and
+ * other agents must not take them for ended in the meantime.
+ */
 void PacketAgent::beginStop(TimePoint now, Actions& actions)
 {
     this->isStopping = true;
     this->updateOwnRecord(now);
-    this->peers.tick(now, this->follower.revision(), actions);
+    if (!this->hasUpstreamEnded(now)) {
+        this->peers.tick(now, this->follower.revision(), actions);
+        return;
+    }
+    this->events.log(EventLevel::Info, "agent-left", { { "flows", std::to_string(this->flows.size()) } });
+    this->peers.leave(now, this->follower.revision(), actions);
 }
 
 MetricsView PacketAgent::metrics() const
