--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -163,6 +163,9 @@
             { "upstream", report.id },
             { "started", report.started ? std::to_string(*report.started) : "unknown" },
             { "cold_ms", std::to_string(toMilliseconds(report.coldLeft)) },
+            { "sequence", std::to_string(report.sequence) },
+            { "agent_age_ms", std::to_string(toMilliseconds(now - this->settings.startedAt)) },
+            { "agent_started", std::to_string(this->settings.incarnation) },
             { "before", this->latestReport ? this->latestReport->id : "none" },
         });
 }
