Packet agents know by the number of its first report that an upstream is younger

Cause: an agent probes its upstream with packets of unknown flows for 60 s unless it knows that the upstream started after it. isUpstreamYoungerThanAgent took only a remaining cold time as evidence, and upstreams that start before the traffic report none. Nearly every agent starts 1.9 to 4.4 s before its upstream and probed nevertheless.

Change: the number of the first report that arrives is evidence as well. It begins at 1 with each lifetime, the first report comes 0 to 31 ms after the start (measured), and each further one takes at most 5/4 of the period and a time-out of 1 s. As before the start time must not contradict. A report without a start time, of another service, with number 0 or above 16 proves nothing, and what counts is the first report, so that a later one of another writer under the same id adds no start time to it.

Why it works: an agent that restarted beside a living upstream would have to meet a report whose number bounds the upstream's age below its own, for which the upstream must have been suspended, and at the same time a clock that was set back between the two starts.

Of the three new tests AnUpstreamThatStartedAfterItsAgentGetsNoPacketOfAnUnknownFlow fails on the code before. The other two bound the evidence: AReportOfAnUpstreamThatMayBeOlderProvesNothing fails without the check of the start time, ARestartedAgentNeverTakesALivingUpstreamForAYoungerOne without the allowance for time-outs.

--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -18,6 +18,8 @@
     constexpr double searchBurst = 400; ///< Capacity of the token bucket.
     constexpr uint16_t weightPerSlot = 100; ///< MemberRecord::weight counts hundredths of a slot.
     constexpr Duration minimumRestartTime = 150ms; ///< An agent that died takes at least this long to start again.
+    constexpr Duration reportTimeout = 1s; ///< An upstream waits this long for the answer to a report.
+    constexpr uint64_t maximumCountedReports = 16; ///< Later reports show no age: it would exceed the time for which flows are remembered.
 
     MemberRecord initialRecord(const PacketAgentSettings& settings)
     {
@@ -35,6 +37,18 @@
         };
     }
 
+    /**
+     * Longest time from an upstream's start to the arrival of its report of this number, if every report before it went without
+     * an answer and each came late by a quarter of the period; none if the number says nothing. The first report has number 1.
+     */
+    std::optional<Duration> longestAge(uint64_t sequence, Duration reportPeriod)
+    {
+        if (sequence == 0 || sequence > maximumCountedReports) {
+            return std::nullopt;
+        }
+        return static_cast<int64_t>(sequence) * (reportPeriod * 5 / 4 + reportTimeout);
+    }
+
 } // namespace
 
 PacketAgent::PacketAgent(const PacketAgentSettings& settings, const SegmentCodec& codec, Random& random, EventSink& events)
@@ -155,7 +169,7 @@
 void PacketAgent::beginUpstreamLifetime(TimePoint now, const UpstreamReport& report)
 {
     this->firstReportAt = now;
-    this->firstColdLeft = report.coldLeft;
+    this->firstReport = report;
     this->refusalBackoff.reset();
     this->processingTime.reset();
     this->events.log(EventLevel::Info, "upstream-started",
@@ -186,19 +200,28 @@
 }
 
 /**
- * True if the upstream started no earlier than this process: then this agent knows all its flows. Both values that show its
- * age must agree: the remaining cold time does not depend on the time of day, which may jump; the start time tells a new
- * lifetime from an upstream that became cold again.
+ * True if the upstream started no earlier than this process: then this agent knows all its flows. Two values that show its age
+ * must agree, one that does not depend on the time of day, which may jump, and the start time, which tells a new lifetime from
+ * an upstream that became cold again or was suspended between two reports. The first is the remaining cold time, or the number
+ * of reports: an upstream that has sent few cannot be old.
  */
 bool PacketAgent::isUpstreamYoungerThanAgent() const
 {
-    const ServiceRule* rule = this->follower.current().findService(this->settings.service);
-    if (rule == nullptr || !rule->warmUp || !this->latestReport || !this->latestReport->started || this->firstColdLeft == Duration::zero()) {
+    if (!this->latestReport || !this->firstReport.started || this->firstReport.service != this->settings.service) {
         return false;
     }
-    const TimePoint upstreamStart = this->firstReportAt - (*rule->warmUp - this->firstColdLeft);
     const auto slack = static_cast<uint64_t>(toMilliseconds(minimumRestartTime));
-    return upstreamStart + minimumRestartTime >= this->settings.startedAt && *this->latestReport->started + slack >= this->settings.incarnation;
+    if (*this->firstReport.started + slack < this->settings.incarnation) {
+        return false;
+    }
+    const TimePoint earliestStart = this->settings.startedAt - minimumRestartTime;
+    const ServiceRule* rule = this->follower.current().findService(this->settings.service);
+    const bool isColdTimeKnown = rule != nullptr && rule->warmUp && this->firstReport.coldLeft != Duration::zero();
+    if (isColdTimeKnown && this->firstReportAt - (*rule->warmUp - this->firstReport.coldLeft) >= earliestStart) {
+        return true;
+    }
+    const std::optional<Duration> age = longestAge(this->firstReport.sequence, this->settings.reportPeriod);
+    return age && this->firstReportAt - *age >= earliestStart;
 }
 
 /** True if the upstream may hold flows that it opened before this process started and that this agent does not know. */
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -191,8 +191,8 @@
     ProcessingTime processingTime;
     std::optional<UpstreamReport> latestReport; ///< Latest report that was accepted; none before the first.
     TimePoint latestReportAt {}; ///< When latestReport arrived.
-    Duration firstColdLeft {}; ///< Remaining cold time in the first report of the upstream's lifetime.
-    TimePoint firstReportAt {}; ///< When the first report of the upstream's lifetime arrived.
+    UpstreamReport firstReport; ///< First report of the upstream's lifetime that arrived here.
+    TimePoint firstReportAt {}; ///< When firstReport arrived.
     TimePoint lastUpstreamPacket {}; ///< When the upstream last sent or returned a packet; zero if it never did.
     TimePoint unansweredSince {}; ///< First opening packet since the upstream's last packet or report; zero if there is none.
     size_t probesSent = 0; ///< Probes sent to the upstream since this process started.
--- a/tests/packet_flow_test.cpp
+++ b/tests/packet_flow_test.cpp
@@ -192,3 +192,115 @@
     CHECK_EQUAL(0, scene.agent.counters().get(Counter::FlowsProbed));
     CHECK(query(scene, 1).owner == scene.agent.self().address);
 }
+
+namespace {
+
+/** An agent with the start time 1,000,000 that started at 100 s; its upstream reports each second. */
+struct StartScene {
+    platform::PacketCodec codec;
+    SeededRandom random { 1 };
+    NullEventSink events;
+    PacketAgent agent;
+    TimePoint now = 100s;
+
+    StartScene()
+        : agent({ .address = { 0x0A010005, 7000 }, .zone = "a", .service = "orders", .incarnation = 1'000'000, .slots = 2, .reportPeriod = 1s, .startedAt = 100s }, this->codec, this->random, this->events)
+    {
+        Actions actions;
+        this->agent.onSnapshot(this->now, { .revision = 5, .rules = makePatch(0, "", packetRules) }, actions);
+    }
+
+    /** Gives the agent a report @p after its start. */
+    void report(Duration after, const UpstreamReport& report)
+    {
+        this->now = 100s + after;
+        CHECK(this->agent.onUpstreamReport(this->now, report));
+    }
+
+    /** True if the agent counts with a flow at its upstream that it does not know. */
+    bool mayHoldUnknownFlow()
+    {
+        Actions actions;
+        this->agent.onMessage(this->now, FlowQuery { hashText("orders"), { caller(9), packetService }, searchingAgent }, actions);
+        return std::get<FlowQueryReply>(std::get<SendMessage>(actions.front()).message).mayHoldFlow;
+    }
+};
+
+/** First report of an upstream that started 2.4 s after the agent and is not cold. */
+UpstreamReport firstReport()
+{
+    return { .id = "u1", .service = "orders", .started = 1'002'400, .sequence = 1, .slots = 2 };
+}
+
+} // namespace
+
+/**
+ * Guards against packets of an open flow at upstreams that do not own it: agents that started before their upstreams, which are
+ * not cold before the traffic, sent packets of unknown flows to them for 60 s.
+ */
+TEST(PacketFlow, AnUpstreamThatStartedAfterItsAgentGetsNoPacketOfAnUnknownFlow)
+{
+    StartScene scene;
+    scene.report(2500ms, firstReport());
+    CHECK_FALSE(scene.mayHoldUnknownFlow());
+    ForwardedPacket forwarded {
+        .packet = { .flow = { caller(9), packetService }, .mark = PacketMark::Established, .payload = makePacket(caller(9), packetService, AcknowledgingFlag, 1, 77, 20) },
+        .service = hashText("orders"),
+        .candidates = { searchingAgent },
+    };
+    Actions actions;
+    scene.agent.onMessage(scene.now, forwarded, actions);
+    CHECK_EQUAL(1, actions.size());
+    CHECK(std::get<SendMessage>(actions.front()).to == searchingAgent);
+    StartScene late; // The first two reports were lost, but the third shows the same.
+    UpstreamReport third = firstReport();
+    third.sequence = 3;
+    late.report(7s, third);
+    CHECK_FALSE(late.mayHoldUnknownFlow());
+}
+
+/** Guards against the reset of an open flow by an agent that wrongly believes that it knows all flows of its upstream. */
+TEST(PacketFlow, AReportOfAnUpstreamThatMayBeOlderProvesNothing)
+{
+    const auto check = [](Duration after, auto change) {
+        StartScene scene;
+        UpstreamReport report = firstReport();
+        change(report);
+        scene.report(after, report);
+        CHECK(scene.mayHoldUnknownFlow());
+    };
+    check(1s, [](UpstreamReport&) {}); // The report before it may have been lost while the agent restarted.
+    check(2500ms, [](UpstreamReport& report) { report.sequence = 2; });
+    check(30s, [](UpstreamReport& report) { report.sequence = 30; });
+    check(30s, [](UpstreamReport& report) { report.sequence = UINT64_MAX; });
+    check(30s, [](UpstreamReport& report) { report.sequence = 0; }); // Reports are counted from 1, so this one counts otherwise.
+    check(30s, [](UpstreamReport& report) { report.started = 999'000; }); // It was suspended while the agent restarted.
+    check(30s, [](UpstreamReport& report) { report.started = std::nullopt; });
+    check(30s, [](UpstreamReport& report) { report.service = "proofs"; });
+    StartScene scene;
+    UpstreamReport report = firstReport();
+    report.started = std::nullopt;
+    scene.report(2500ms, report);
+    report = firstReport();
+    report.sequence = 9;
+    scene.report(3s, report);
+    CHECK(scene.mayHoldUnknownFlow()); // The first report may be of another lifetime.
+}
+
+/**
+ * Guards against the reset of an open flow by an agent that restarted beside a living upstream, whatever the time of day says:
+ * here it jumped back before the restart, and no report of the upstream was answered before.
+ */
+TEST(PacketFlow, ARestartedAgentNeverTakesALivingUpstreamForAYoungerOne)
+{
+    constexpr Duration longestInterval = 2250ms; // A report that times out, and 5/4 of the period to the next one.
+    for (Duration restart = 200ms; restart < 12s; restart += 50ms) {
+        for (const Duration interval : { Duration(750ms), Duration(1s), longestInterval }) {
+            StartScene scene;
+            UpstreamReport report = firstReport();
+            report.sequence = static_cast<uint64_t>(restart / interval) + 1;
+            scene.report(static_cast<int64_t>(report.sequence) * interval - restart, report);
+            CHECK(scene.mayHoldUnknownFlow());
+        }
+    }
+}
