A balancer does not take a leave for a heartbeat

Callers: none seen.

Cause: every announcement counted as a heartbeat, a leave too.

Change: a leave ends the watching and starts none. A late copy of a leave does not touch the heartbeats of a later process.

PacketLeave.AnAgentThatLeftIsNotWatched failed before (line 345). Load: no figure was taken.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -78,8 +78,11 @@
         return;
     }
     this->members.mergeRecord(now, record);
-    this->members.onHeartbeat(now, record.address);
-    if (this->openingTracker != nullptr) {
+    const bool isLeave = record.liveness == Liveness::Gone;
+    if (!isLeave) {
+        this->members.onHeartbeat(now, record.address);
+    }
+    if (this->openingTracker != nullptr && !isLeave) {
         this->openingTracker->onHeartbeat(record.address);
     }
     const Member* known = this->members.table().find(record.address);
--- a/tests/packet_leave_test.cpp
+++ b/tests/packet_leave_test.cpp
@@ -334,3 +334,13 @@
         CHECK(scene.isUnknownFlowReset(9));
     }
 }
+
+/** Guards against a balancer that takes a leave for a heartbeat and asks an ended agent for announcements at each new revision of the rules. */
+TEST(PacketLeave, AnAgentThatLeftIsNotWatched)
+{
+    BalancerScene scene;
+    scene.announce(agentRecord(3));
+    CHECK_EQUAL(1, scene.balancer.gossip().watchedAgents().size());
+    scene.announce(leaveRecord(agentRecord(3)));
+    CHECK(scene.balancer.gossip().watchedAgents().empty());
+}
