A remembered owner that is gone or avoided is not the first candidate

What callers could see: packets of an open flow vanish at an agent that has ended, for as long as the balancer remembers it as the owner. That is the true owner's fate anyway, but of two upstreams that answered an opening the balancer remembers the one that reported last, which may not be the one that the caller chose.

Change: such an owner is left to the others on the way, which look the flow up. Both tests failed before.

--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -39,7 +39,7 @@
             this->handleRefusedOpenings(now, actions);
             return;
         }
-        this->openingTracker->orderCandidates(now, forwarded);
+        this->openingTracker->orderCandidates(now, forwarded, this->members.table());
     }
     const Address first = forwarded.candidates.front();
     actions.push_back(SendMessage { first, std::move(forwarded) });
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -33,7 +33,7 @@
     std::stable_partition(candidates.begin(), candidates.end(), [this](Address agent) { return !this->avoided.contains(agent); });
 }
 
-void OpeningTracker::orderCandidates(TimePoint now, ForwardedPacket& forwarded)
+void OpeningTracker::orderCandidates(TimePoint now, ForwardedPacket& forwarded, const MemberTable& members)
 {
     auto& list = forwarded.candidates;
     this->moveAvoidedLast(list);
@@ -42,6 +42,11 @@
         return;
     }
     found->second.lastUsedAt = now;
+    // If two upstreams answered, the remembered owner may be the one that the caller did not choose: others find the flow then.
+    const Member* owner = members.find(found->second.owner);
+    if (this->avoided.contains(found->second.owner) || (owner != nullptr && owner->record.liveness == Liveness::Gone)) {
+        return;
+    }
     std::erase(list, found->second.owner);
     list.insert(list.begin(), found->second.owner);
 }
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -7,6 +7,7 @@
 #include "core/event_base.h"
 #include "core/latency_histogram.h"
 #include "core/time_type.h"
+#include "member/member_table.h"
 
 #include <map>
 #include <unordered_map>
@@ -45,8 +46,8 @@
      */
     void onOpening(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions);
 
-    /** Orders the candidates of a packet other than an opening: the known owner first, avoided agents last. */
-    void orderCandidates(TimePoint now, ForwardedPacket& forwarded);
+    /** Orders the candidates of a packet other than an opening: the known owner first, avoided agents last. An owner that is gone is no candidate. */
+    void orderCandidates(TimePoint now, ForwardedPacket& forwarded, const MemberTable& members);
 
     /** Handles the answer of an agent to an offer: updates its load and, unless it accepted, makes the next offer. */
     void onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions);
--- a/tests/opening_tracker_test.cpp
+++ b/tests/opening_tracker_test.cpp
@@ -150,7 +150,7 @@
     scene.answer(1, scene.agents[0], OpeningResult::Busy);
     scene.answer(1, scene.agents[1], OpeningResult::Accepted);
     ForwardedPacket packet { .packet = { .flow = { caller(1), packetService }, .mark = PacketMark::Established }, .candidates = scene.agents };
-    scene.tracker.orderCandidates(scene.now, packet);
+    scene.tracker.orderCandidates(scene.now, packet, {});
     CHECK(packet.candidates.front() == scene.agents[1]);
     CHECK_EQUAL(3, packet.candidates.size());
 }
@@ -271,3 +271,37 @@
         silent.advance(200ms);
     }
 }
+
+/** Packets of an open flow vanished at an agent that had ended, if the balancer remembered it as the owner. */
+TEST(OpeningTracker, AnOwnerThatHasEndedIsNotTheFirstCandidate)
+{
+    OfferScene scene(3);
+    scene.open(1);
+    scene.answer(1, scene.agents[2], OpeningResult::Accepted);
+    const auto firstCandidate = [&](const MemberTable& members) {
+        ForwardedPacket packet { .packet = { .flow = { caller(1), packetService } }, .candidates = { scene.agents[0], scene.agents[1] } };
+        scene.tracker.orderCandidates(scene.now, packet, members);
+        return packet.candidates.front();
+    };
+    MemberTable members;
+    MemberRecord record { .address = scene.agents[2], .role = MemberRole::Agent, .zone = "a", .service = "orders", .version = 1 };
+    members.merge(scene.now, record);
+    CHECK(firstCandidate(members) == scene.agents[2]);
+    record.version = 2;
+    record.liveness = Liveness::Gone;
+    members.merge(scene.now, record);
+    CHECK(firstCandidate(members) == scene.agents[0]);
+}
+
+/** The same for an owner that does not answer any more and counts as alive. */
+TEST(OpeningTracker, AnOwnerThatIsAvoidedIsNotTheFirstCandidate)
+{
+    OfferScene scene(2);
+    scene.open(1);
+    scene.answer(1, scene.agents[0], OpeningResult::Accepted);
+    scene.open(2);
+    scene.advance(100ms); // Agent 0 leaves the offer of flow 2 unanswered.
+    ForwardedPacket packet { .packet = { .flow = { caller(1), packetService } }, .candidates = { scene.agents[0], scene.agents[1] } };
+    scene.tracker.orderCandidates(scene.now, packet, {});
+    CHECK(packet.candidates.front() == scene.agents[1]);
+}
