Every notice of a given-up flow names the requests that may have run

Callers would see: a request that is at the upstream when its zone goes out is taken for not run, if the first notice is lost or overtaken by the answer to a late packet of the flow.

Cause: the agent answered late packets of a given-up flow with a notice that named no request. The notices that were resent named them.

Change: the tombstone keeps the requests that may have run, and all notices of the end are made from it; the list of resent notices shrinks to flows.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -140,16 +140,13 @@
 
 void Agent::giveUpFlows(TimePoint now, Actions& actions)
 {
-    this->givenUpNotices.clear();
+    this->resentEnds.clear();
     for (auto& [key, flow] : this->flows) {
-        FlowNotice notice { .event = FlowEvent::GivenUp, .zone = this->settings.zone };
-        FinishedRequests mayHaveRun = this->requests.endFlow(now, flow, VerdictReason::ZoneOut, actions);
-        mayHaveRun.raiseWatermark(maximumNoticeRequests);
-        notice.mayHaveRunThrough = mayHaveRun.watermark;
-        notice.mayHaveRun = std::move(mayHaveRun.aboveWatermark);
-        this->notify(key, notice, actions);
-        this->givenUpNotices.emplace_back(key, std::move(notice));
-        this->remember(now, key, ForeignFlowKind::GivenUp, {});
+        ForeignFlow& tombstone = this->remember(now, key, ForeignFlowKind::GivenUp, {});
+        tombstone.mayHaveRun = this->requests.endFlow(now, flow, VerdictReason::ZoneOut, actions);
+        tombstone.mayHaveRun.raiseWatermark(maximumNoticeRequests);
+        this->notifyEnd(key, tombstone, actions);
+        this->resentEnds.push_back(key);
         this->count.add(Counter::FlowsGivenUp);
     }
     this->flows.clear();
@@ -163,12 +160,15 @@
     if (this->noticeResendsLeft == 0 || now < this->nextNoticeResend) {
         return;
     }
-    for (const auto& [flow, notice] : this->givenUpNotices) {
-        this->notify(flow, notice, actions);
+    for (const FlowKey& key : this->resentEnds) {
+        const auto tombstone = this->foreignFlows.find(key);
+        if (tombstone != this->foreignFlows.end() && tombstone->second.kind != ForeignFlowKind::OwnedElsewhere) {
+            this->notifyEnd(key, tombstone->second, actions);
+        }
     }
     this->nextNoticeResend = now + noticeResendPeriod;
     if (--this->noticeResendsLeft == 0) {
-        this->givenUpNotices.clear();
+        this->resentEnds.clear();
     }
 }
 
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -140,13 +140,15 @@
     /** Forwards a packet to the first usable candidate that it has not visited. @return False if there is none. */
     bool forwardToNext(ForwardedPacket& forwarded, Actions& actions);
     void notify(const FlowKey& flow, const FlowNotice& notice, Actions& actions) const;
+    /** Notifies the caller of an ended flow of its end and of the requests that may have run. */
+    void notifyEnd(const FlowKey& flow, const ForeignFlow& tombstone, Actions& actions) const;
     /** True if this agent may take one more flow. */
     bool canAcceptFlow() const;
     /** False if another agent is known to be gone or in an availability zone that is out. */
     bool isUsableAgent(Address agent) const;
     bool isMoreLoadedThan(TimePoint now, Address other) const;
     /** Stores a pointer to a flow's owner, or a tombstone. */
-    void remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner);
+    ForeignFlow& remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner);
 
     // agent_search.cpp
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
@@ -196,7 +198,7 @@
     int failedHealthReads = 0; ///< Consecutive readings of the health endpoint without an answer.
     bool isStopping = false;
     bool wasZoneOut = false; ///< Whether the previous configuration had the agent's zone out.
-    std::vector<std::pair<FlowKey, FlowNotice>> givenUpNotices; ///< Resent a few times: callers do not acknowledge them, and may get no other message of the end.
+    std::vector<FlowKey> resentEnds; ///< Flows whose end is notified a few times: callers do not acknowledge it, and may get no other message of it.
     int noticeResendsLeft = 0;
     TimePoint nextNoticeResend {};
 };
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -31,12 +31,25 @@
     });
 }
 
-void Agent::remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner)
+void Agent::notifyEnd(const FlowKey& flow, const ForeignFlow& tombstone, Actions& actions) const
+{
+    this->notify(flow,
+        {
+            .event = tombstone.kind == ForeignFlowKind::Closed ? FlowEvent::Closed : FlowEvent::GivenUp,
+            .zone = this->settings.zone,
+            .mayHaveRun = tombstone.mayHaveRun.aboveWatermark,
+            .mayHaveRunThrough = tombstone.mayHaveRun.watermark,
+        },
+        actions);
+}
+
+ForeignFlow& Agent::remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner)
 {
     ForeignFlow& foreign = this->foreignFlows[flow];
     foreign.kind = kind;
     foreign.owner = owner;
     foreign.expires = now + (kind == ForeignFlowKind::OwnedElsewhere ? pointerRetention : tombstoneRetention);
+    return foreign;
 }
 
 bool Agent::canAcceptFlow() const
@@ -105,13 +118,7 @@
     }
     if (const auto foreign = this->foreignFlows.find(key); foreign != this->foreignFlows.end()) {
         if (foreign->second.kind != ForeignFlowKind::OwnedElsewhere) {
-            const bool isClosed = foreign->second.kind == ForeignFlowKind::Closed;
-            this->notify(key,
-                {
-                    .event = isClosed ? FlowEvent::Closed : FlowEvent::GivenUp,
-                    .zone = this->settings.zone,
-                },
-                actions);
+            this->notifyEnd(key, foreign->second, actions);
             return;
         }
         const Address owner = foreign->second.owner;
--- a/src/agent/flow_base.h
+++ b/src/agent/flow_base.h
@@ -80,6 +80,7 @@
     Address owner; ///< For OwnedElsewhere; not valid if the pointer turned out to be wrong.
     uint32_t moveCount = 0; ///< Number of moves, the one away from this agent included; 0 if this agent never moved the flow.
     TimePoint expires {}; ///< When the entry is dropped.
+    FinishedRequests mayHaveRun; ///< For GivenUp: requests that may have run; none of the others ever runs.
 };
 
 using FlowTable = std::unordered_map<FlowKey, Flow>; ///< Flows that an agent owns.
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -342,6 +342,21 @@
     CHECK_FALSE(notice.mayRequestHaveRun(last + 1));
 }
 
+// Guards against a false "not run" for a request at the upstream, if the caller gets the answer to a late packet of the flow first.
+TEST(Agent, ALateNoticeOfAGivenUpFlowNamesTheSameRequests)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    network.setRules(2, testRules("zone a out # operator\n"));
+    network.toCallers.clear();
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    CHECK_EQUAL(1U, network.notices(FlowEvent::GivenUp));
+    CHECK_TRUE(givenUpNotice(network).mayRequestHaveRun(2));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
+}
+
 TEST(Agent, NoPacketIsPassedIntoAZoneThatIsOut)
 {
     TestNetwork network(4);
