A flow that is moving is not given up when its zone goes out

Callers would see: a request that ran at the flow's new owner is taken for not run, and an order runs twice.

Cause: the zone of a draining agent goes out between a FlowMove and its reply. giveUpFlows ended the flow and named the requests that this agent knew of, while the other agent had taken the flow and ran the caller's retransmissions.

Change: flows that are moving stay until the reply. Each tick while the zone is out, flows that are no longer moving are given up.

Agent.ZoneOutDoesNotGiveUpAFlowThatIsMoving fails before; ZoneOutGivesUpAFlowWhoseMoveDoesNotSucceed guards the new path.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -129,6 +129,8 @@
     }
     if (this->isZoneOut() && !this->wasZoneOut) {
         this->giveUpFlows(now, actions);
+        this->searches.clear();
+        this->beginResendingEnds(now);
     }
     if (!this->isZoneOut() && this->wasZoneOut) {
         this->requests.admission().onColdStart();
@@ -141,16 +143,22 @@
 
 void Agent::giveUpFlows(TimePoint now, Actions& actions)
 {
+    std::vector<FlowKey> ended;
     for (auto& [key, flow] : this->flows) {
+        if (flow.movingTo.isValid()) {
+            continue; // The other agent may already own the flow and run its requests, so the move is completed.
+        }
         ForeignFlow& tombstone = this->remember(now, key, ForeignFlowKind::GivenUp, {});
         tombstone.mayHaveRun = this->requests.endFlow(now, flow, VerdictReason::ZoneOut, actions);
         tombstone.mayHaveRun.raiseWatermark(maximumNoticeRequests);
         this->notifyEnd(key, tombstone, actions);
         this->count.add(Counter::FlowsGivenUp);
+        ended.push_back(key);
+    }
+    std::for_each(ended.begin(), ended.end(), [this](const FlowKey& key) { this->flows.erase(key); });
+    if (!ended.empty()) {
+        this->beginResendingEnds(now);
     }
-    this->flows.clear();
-    this->searches.clear();
-    this->beginResendingEnds(now);
 }
 
 void Agent::beginResendingEnds(TimePoint now)
@@ -288,6 +296,9 @@
     this->updateOwnRecord(now);
     this->updateTable();
     this->requests.tick(now, actions);
+    if (this->isZoneOut()) {
+        this->giveUpFlows(now, actions); // Those whose move did not succeed.
+    }
     this->moveFlows(now, actions);
     this->tickSearches(now, actions);
     this->resendEnds(now, actions);
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -122,7 +122,7 @@
     /** True while flows move to other agents and no request is handed to the upstream. */
     bool isHandingOff() const { return this->isUpstreamDown || this->isLeaving(); }
     bool isZoneOut() const { return this->follower.current().isZoneOut(this->settings.zone); }
-    /** Ends all flows when the agent's zone is taken out, and notifies their callers. */
+    /** Ends the flows while the agent's zone is out, apart from those that are moving, and notifies their callers. */
     void giveUpFlows(TimePoint now, Actions& actions);
     /** Begins to resend the notices of the flows that ended a short time ago; no packet reaches this agent any more that could be answered. */
     void beginResendingEnds(TimePoint now);
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -37,6 +37,17 @@
     network.deliverAll();
 }
 
+/** Delivers the messages of one kind and no others. */
+template <typename Kind>
+void deliverOnly(TestNetwork& network)
+{
+    for (size_t index = network.inFlight.size(); index > 0; --index) {
+        if (std::holds_alternative<Kind>(network.inFlight[index - 1].message)) {
+            network.deliver(index - 1);
+        }
+    }
+}
+
 FlowPacket closingPacket(const FlowKey& flow)
 {
     return { .flow = flow, .mark = PacketMark::Closing, .payload = encodePayload(FlowNotice { .event = FlowEvent::Closed }) };
@@ -363,6 +374,42 @@
     CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
 }
 
+// Guards against a false "not run" for a request that ran at a flow's new owner, if the old one's zone goes out during the move.
+TEST(Agent, ZoneOutDoesNotGiveUpAFlowThatIsMoving)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    const Address other = owner == agentAddress(0) ? agentAddress(1) : agentAddress(0);
+    network.find(owner)->beginStop();
+    network.tickAll();
+    deliverOnly<FlowMove>(network);
+    network.inFlight.clear(); // The reply is lost.
+    network.send(other, ForwardedPacket { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { other } });
+    network.deliverAll();
+    CHECK_EQUAL(1U, network.handOvers.size());
+    network.setRules(2, testRules(concat("zone ", network.find(owner)->self().zone, " out # operator\n")));
+    network.advance(1s);
+    CHECK_EQUAL(0U, network.notices(FlowEvent::GivenUp));
+    CHECK_EQUAL(0U, network.find(owner)->flowTable().size());
+    CHECK_TRUE(network.owners(testFlow()) == std::vector<Address> { other });
+}
+
+// Guards against a flow that nobody ends, if its move does not succeed while its zone is out.
+TEST(Agent, ZoneOutGivesUpAFlowWhoseMoveDoesNotSucceed)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    network.find(owner)->beginStop();
+    network.tickAll();
+    network.inFlight.clear(); // The move is lost.
+    network.setRules(2, testRules("zone a out # operator\nzone b out # operator\n"));
+    network.advance(500ms);
+    CHECK_TRUE(network.notices(FlowEvent::GivenUp) > 0);
+    CHECK_TRUE(network.find(owner)->isDrained());
+}
+
 // Guards against a closed flow that is declared lost, since its confirmation was lost and its zone went out.
 TEST(Agent, ZoneOutConfirmsTheFlowsThatWereJustClosed)
 {
