A move is completed though the zone of its target goes out

Callers would see: a flow that another agent owns is given up, with a false 'not run' for what ran there.

Cause: an agent ended an unanswered move when its target was not usable any more. A target whose zone is out is alive and may have taken the flow.

Change: the move goes on until the target replies or is gone.

Agent.AMoveIsCompletedThoughTheZoneOfItsTargetGoesOut fails before.

--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -61,7 +61,9 @@
             break;
         }
         if (flow.movingTo.isValid()) {
-            if (!this->isUsableAgent(flow.movingTo)) {
+            const MemberRecord* target = this->peers.find(flow.movingTo);
+            // Only the target knows whether it took the flow, so it is asked even if its availability zone has gone out since.
+            if (target != nullptr && target->liveness == Liveness::Gone) {
                 flow.movingTo = {};
             } else if (now - flow.moveSentAt >= moveResendPeriod) {
                 this->sendMove(now, flow, flow.movingTo, actions);
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -395,6 +395,26 @@
     CHECK_TRUE(network.owners(testFlow()) == std::vector<Address> { other });
 }
 
+// Guards against two owners of a flow: the target of a move took it, the reply is lost, and the target's zone goes out.
+TEST(Agent, AMoveIsCompletedThoughTheZoneOfItsTargetGoesOut)
+{
+    TestNetwork network(3);
+    const TestView view(0s, readyAgents(3));
+    const Address owner = openFlow(network, view, testFlow());
+    network.find(owner)->beginStop();
+    network.tickAll();
+    deliverOnly<FlowMove>(network);
+    network.inFlight.clear(); // The reply is lost.
+    const auto target = std::find_if(network.agents.begin(), network.agents.end(), [owner](const auto& agent) {
+        return agent->self().address != owner && agent->flowTable().contains(testFlow());
+    });
+    CHECK_TRUE(target != network.agents.end());
+    network.setRules(2, testRules(concat("zone ", (*target)->self().zone, " out # operator\n")));
+    network.advance(1s);
+    CHECK_EQUAL(0U, network.owners(testFlow()).size());
+    CHECK_TRUE(network.find(owner)->isDrained());
+}
+
 // Guards against a flow that nobody ends, if its move does not succeed while its zone is out.
 TEST(Agent, ZoneOutGivesUpAFlowWhoseMoveDoesNotSucceed)
 {
