--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -93,6 +93,7 @@
 
 def test_rules_stay_in_force_while_the_store_is_down(build, folder):
     with running(build, folder) as platform:
+        assert platform.wait_until_served(START_SECONDS, balancer=1) is not None  # Else balancer-1 may have no rules when the store goes down.
         platform.store.down = True
         for name in ("agent-0", "balancer-0"):
             platform.kill(name)
