--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -69,7 +69,11 @@
     bool isDrained() const { return this->isStopping && this->flows.empty() && this->requests.inFlight() == 0; }
 
     /** Announces to the balancers that this agent is gone; called last before the process ends. */
-    void leave(TimePoint now, Actions& actions) { this->peers.leave(now, this->follower.revision(), actions); }
+    void leave(TimePoint now, Actions& actions)
+    {
+        this->peers.leave(now, this->follower.revision(), actions);
+        this->beginResendingEnds(now);
+    }
 
     MetricsView metrics() const
     {
@@ -118,9 +122,11 @@
     /** True while flows move to other agents and no request is handed to the upstream. */
     bool isHandingOff() const { return this->isUpstreamDown || this->isLeaving(); }
     bool isZoneOut() const { return this->follower.current().isZoneOut(this->settings.zone); }
-    /** Ends all flows when the agent's zone is taken out, and notifies their callers. */
+    /** Ends the flows while the agent's zone is out, apart from those that are moving, and notifies their callers. */
     void giveUpFlows(TimePoint now, Actions& actions);
-    void resendNotices(TimePoint now, Actions& actions);
+    /** Begins to resend the notices of the flows that ended a short time ago; no packet reaches this agent any more that could be answered. */
+    void beginResendingEnds(TimePoint now);
+    void resendEnds(TimePoint now, Actions& actions);
     /** Sends the load to other agents if it has changed or is due again. */
     void sendLoad(TimePoint now, Actions& actions);
     void expireFlows(TimePoint now);
@@ -140,13 +146,15 @@
     /** Forwards a packet to the first usable candidate that it has not visited. @return False if there is none. */
     bool forwardToNext(ForwardedPacket& forwarded, Actions& actions);
     void notify(const FlowKey& flow, const FlowNotice& notice, Actions& actions) const;
+    /** Notifies the caller of an ended flow of its end and of the requests that may have run. */
+    void notifyEnd(const FlowKey& flow, const ForeignFlow& tombstone, Actions& actions) const;
     /** True if this agent may take one more flow. */
     bool canAcceptFlow() const;
     /** False if another agent is known to be gone or in an availability zone that is out. */
     bool isUsableAgent(Address agent) const;
     bool isMoreLoadedThan(TimePoint now, Address other) const;
     /** Stores a pointer to a flow's owner, or a tombstone. */
-    void remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner);
+    ForeignFlow& remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner);
 
     // agent_search.cpp
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
@@ -166,6 +174,8 @@
     Address moveTarget(const FlowKey& flow) const;
     void handle(TimePoint now, const FlowMove& move, Actions& actions);
     void handle(TimePoint now, const FlowMoveReply& reply);
+    /** Drops a flow that another agent has taken, and keeps a pointer to that agent. */
+    void completeMove(TimePoint now, const FlowKey& flow, Address owner, uint32_t moveCount);
 
     AgentSettings settings;
     uint64_t serviceHash;
@@ -196,9 +206,9 @@
     int failedHealthReads = 0; ///< Consecutive readings of the health endpoint without an answer.
     bool isStopping = false;
     bool wasZoneOut = false; ///< Whether the previous configuration had the agent's zone out.
-    std::vector<std::pair<FlowKey, FlowNotice>> givenUpNotices; ///< Resent a few times: callers do not acknowledge them, and may get no other message of the end.
-    int noticeResendsLeft = 0;
-    TimePoint nextNoticeResend {};
+    std::vector<FlowKey> unconfirmedEnds; ///< Flows whose end is notified a few times: callers do not acknowledge it, and may get no other message of it.
+    int endResendsLeft = 0;
+    TimePoint nextEndResend {};
 };
 
 } // namespace lavender
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-    constexpr Duration tombstoneRetention = 30s; ///< Lifetime of a tombstone, which answers late packets of an ended flow.
     constexpr Duration pointerRetention = 10min; ///< Lifetime of a pointer; renewed by each packet that follows it.
     constexpr Duration maximumLoadAge = 1s; ///< A peer's load message older than this is ignored.
     constexpr double placementMargin = 0.02; ///< Least relative gain in load that justifies placing a flow at another agent.
@@ -31,12 +30,25 @@
     });
 }
 
-void Agent::remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner)
+void Agent::notifyEnd(const FlowKey& flow, const ForeignFlow& tombstone, Actions& actions) const
+{
+    this->notify(flow,
+        {
+            .event = tombstone.kind == ForeignFlowKind::Closed ? FlowEvent::Closed : FlowEvent::GivenUp,
+            .zone = this->settings.zone,
+            .mayHaveRun = tombstone.mayHaveRun.aboveWatermark,
+            .mayHaveRunThrough = tombstone.mayHaveRun.watermark,
+        },
+        actions);
+}
+
+ForeignFlow& Agent::remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner)
 {
     ForeignFlow& foreign = this->foreignFlows[flow];
     foreign.kind = kind;
     foreign.owner = owner;
     foreign.expires = now + (kind == ForeignFlowKind::OwnedElsewhere ? pointerRetention : tombstoneRetention);
+    return foreign;
 }
 
 bool Agent::canAcceptFlow() const
@@ -105,13 +117,7 @@
     }
     if (const auto foreign = this->foreignFlows.find(key); foreign != this->foreignFlows.end()) {
         if (foreign->second.kind != ForeignFlowKind::OwnedElsewhere) {
-            const bool isClosed = foreign->second.kind == ForeignFlowKind::Closed;
-            this->notify(key,
-                {
-                    .event = isClosed ? FlowEvent::Closed : FlowEvent::GivenUp,
-                    .zone = this->settings.zone,
-                },
-                actions);
+            this->notifyEnd(key, foreign->second, actions);
             return;
         }
         const Address owner = foreign->second.owner;
@@ -226,9 +232,8 @@
     const FlowKey key = flow.key;
     (void)this->requests.endFlow(now, flow, VerdictReason::Cancelled, actions);
     this->flows.erase(key);
-    this->remember(now, key, ForeignFlowKind::Closed, {});
     this->count.add(Counter::FlowsClosed);
-    this->notify(key, { .event = FlowEvent::Closed, .zone = this->settings.zone }, actions);
+    this->notifyEnd(key, this->remember(now, key, ForeignFlowKind::Closed, {}), actions);
 }
 
 void Agent::deliver(TimePoint now, Flow& flow, const FlowPacket& packet, Actions& actions)
--- a/src/agent/flow_base.h
+++ b/src/agent/flow_base.h
@@ -47,8 +47,10 @@
 
     bool contains(uint64_t id) const;
     void add(uint64_t id);
-    /** Raises the watermark to the highest finished id: unfinished ids below it count as finished too. */
-    void raiseWatermarkToHighest();
+    /** Raises the watermark until at most @p maximumAbove ids are above it: unfinished ids below it count as finished too. */
+    void raiseWatermark(size_t maximumAbove);
+    /** Raises the watermark to the highest finished id. */
+    void raiseWatermarkToHighest() { this->raiseWatermark(0); }
 };
 
 /** One flow that this agent owns. */
@@ -72,12 +74,15 @@
     GivenUp, ///< Tombstone: the flow ended because its availability zone was taken out.
 };
 
+constexpr Duration tombstoneRetention = 30s; ///< Lifetime of a tombstone, which answers late packets of an ended flow.
+
 /** Pointer to the owner of a flow, or tombstone of an ended flow. */
 struct ForeignFlow {
     ForeignFlowKind kind = ForeignFlowKind::OwnedElsewhere;
     Address owner; ///< For OwnedElsewhere; not valid if the pointer turned out to be wrong.
     uint32_t moveCount = 0; ///< Number of moves, the one away from this agent included; 0 if this agent never moved the flow.
     TimePoint expires {}; ///< When the entry is dropped.
+    FinishedRequests mayHaveRun; ///< For GivenUp: requests that may have run; none of the others ever runs.
 };
 
 using FlowTable = std::unordered_map<FlowKey, Flow>; ///< Flows that an agent owns.
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,4 +1,5 @@
 /** @file agent_test.cpp Ownership of flows: a single owner, lookup after membership changes, moves, zones that are taken out. */
+#include "core/text_func.h"
 #include "test_network.h"
 
 #include <CppUTest/TestHarness.h>
@@ -36,6 +37,41 @@
     network.deliverAll();
 }
 
+/** Delivers the messages of one kind and no others. */
+template <typename Kind>
+void deliverOnly(TestNetwork& network)
+{
+    for (size_t index = network.inFlight.size(); index > 0; --index) {
+        if (std::holds_alternative<Kind>(network.inFlight[index - 1].message)) {
+            network.deliver(index - 1);
+        }
+    }
+}
+
+FlowPacket closingPacket(const FlowKey& flow)
+{
+    return { .flow = flow, .mark = PacketMark::Closing, .payload = encodePayload(FlowNotice { .event = FlowEvent::Closed }) };
+}
+
+/** Lets the upstream answer the request that was handed over last; the caller acknowledges nothing. */
+void answerLatest(TestNetwork& network, Address owner)
+{
+    network.collect([&](Actions& actions) {
+        network.find(owner)->onUpstreamResult(network.now, { network.handOvers.back().id, UpstreamOutcome::Answered, { 'y' } }, actions);
+    });
+}
+
+/** Latest notice that a flow was given up; an empty one if there is none. */
+FlowNotice givenUpNotice(const TestNetwork& network)
+{
+    FlowNotice latest;
+    for (const FlowPayload& payload : network.toCallers) {
+        const auto* notice = std::get_if<FlowNotice>(&payload);
+        latest = notice != nullptr && notice->event == FlowEvent::GivenUp ? *notice : latest;
+    }
+    return latest;
+}
+
 } // namespace
 
 TEST(Agent, RepeatedOpeningHasOneOwner)
@@ -254,7 +290,189 @@
         return std::holds_alternative<FlowNotice>(payload);
     });
     CHECK_TRUE(notice != network.toCallers.end());
-    CHECK_TRUE(std::get<FlowNotice>(*notice).mayHaveRun == std::vector<uint64_t> { 1 });
+    CHECK_TRUE(std::get<FlowNotice>(*notice).mayRequestHaveRun(1));
+    CHECK_FALSE(std::get<FlowNotice>(*notice).mayRequestHaveRun(2));
+}
+
+// Guards against a false "not run" for a request that ran and whose answer was lost, when its zone goes out.
+TEST(Agent, ZoneOutNamesARequestWhoseAnswerWasNotAcknowledged)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    answerLatest(network, agentAddress(0));
+    network.setRules(2, testRules("zone a out # operator\n"));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(1));
+    CHECK_TRUE(givenUpNotice(network).mayRequestHaveRun(2));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
+}
+
+// Guards against a false "not run" for a request whose answer was kept for as long as answers are, and then dropped.
+TEST(Agent, ZoneOutNamesARequestWhoseAnswerExpired)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    answerLatest(network, agentAddress(0));
+    network.advance(31s);
+    CHECK_TRUE(network.agents[0]->flowTable().at(testFlow()).requests.empty());
+    network.setRules(2, testRules("zone a out # operator\n"));
+    CHECK_TRUE(givenUpNotice(network).mayRequestHaveRun(2));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
+}
+
+// Guards against a false "not run" for a request that an earlier owner of the flow ran.
+TEST(Agent, ZoneOutNamesARequestThatRanBeforeTheFlowMoved)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    answerLatest(network, owner);
+    network.find(owner)->beginStop();
+    network.advance(4s);
+    CHECK_TRUE(network.owners(testFlow()) != std::vector<Address> { owner });
+    network.setRules(2, testRules("zone a out # operator\nzone b out # operator\n"));
+    CHECK_TRUE(givenUpNotice(network).mayRequestHaveRun(2));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
+}
+
+// Guards against a false "not run" for the requests that a notice has no room for.
+TEST(Agent, ZoneOutNamesMoreRequestsThanANoticeLists)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    const uint64_t last = 4 * maximumNoticeRequests;
+    for (uint64_t id = 2; id <= last; id += 2) {
+        sendThrough(network, view, requestPacket(testFlow(), id));
+        answerLatest(network, agentAddress(0));
+    }
+    network.setRules(2, testRules("zone a out # operator\n"));
+    const FlowNotice notice = givenUpNotice(network);
+    for (uint64_t id = 2; id <= last; id += 2) {
+        CHECK_TRUE(notice.mayRequestHaveRun(id));
+    }
+    CHECK_FALSE(notice.mayRequestHaveRun(last - 1));
+    CHECK_FALSE(notice.mayRequestHaveRun(last + 1));
+}
+
+// Guards against a false "not run" for a request at the upstream, if the caller gets the answer to a late packet of the flow first.
+TEST(Agent, ALateNoticeOfAGivenUpFlowNamesTheSameRequests)
+{
+    TestNetwork network(1);
+    const TestView view(0s, readyAgents(1));
+    openFlow(network, view, testFlow());
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    network.setRules(2, testRules("zone a out # operator\n"));
+    network.toCallers.clear();
+    sendThrough(network, view, requestPacket(testFlow(), 2));
+    CHECK_EQUAL(1U, network.notices(FlowEvent::GivenUp));
+    CHECK_TRUE(givenUpNotice(network).mayRequestHaveRun(2));
+    CHECK_FALSE(givenUpNotice(network).mayRequestHaveRun(3));
+}
+
+// Guards against a false "not run" for a request that ran at a flow's new owner, if the old one's zone goes out during the move.
+TEST(Agent, ZoneOutDoesNotGiveUpAFlowThatIsMoving)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    const Address other = owner == agentAddress(0) ? agentAddress(1) : agentAddress(0);
+    network.find(owner)->beginStop();
+    network.tickAll();
+    deliverOnly<FlowMove>(network);
+    network.inFlight.clear(); // The reply is lost.
+    network.send(other, ForwardedPacket { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { other } });
+    network.deliverAll();
+    CHECK_EQUAL(1U, network.handOvers.size());
+    network.setRules(2, testRules(concat("zone ", network.find(owner)->self().zone, " out # operator\n")));
+    network.advance(1s);
+    CHECK_EQUAL(0U, network.notices(FlowEvent::GivenUp));
+    CHECK_EQUAL(0U, network.find(owner)->flowTable().size());
+    CHECK_TRUE(network.owners(testFlow()) == std::vector<Address> { other });
+}
+
+// Guards against two owners of a flow: the target of a move took it, the reply is lost, and the target's zone goes out.
+TEST(Agent, AMoveIsCompletedThoughTheZoneOfItsTargetGoesOut)
+{
+    TestNetwork network(3);
+    const TestView view(0s, readyAgents(3));
+    const Address owner = openFlow(network, view, testFlow());
+    network.find(owner)->beginStop();
+    network.tickAll();
+    deliverOnly<FlowMove>(network);
+    network.inFlight.clear(); // The reply is lost.
+    const auto target = std::find_if(network.agents.begin(), network.agents.end(), [owner](const auto& agent) {
+        return agent->self().address != owner && agent->flowTable().contains(testFlow());
+    });
+    CHECK_TRUE(target != network.agents.end());
+    network.setRules(2, testRules(concat("zone ", (*target)->self().zone, " out # operator\n")));
+    network.advance(1s);
+    CHECK_EQUAL(0U, network.owners(testFlow()).size());
+    CHECK_TRUE(network.find(owner)->isDrained());
+}
+
+// Guards against a lost flow: two draining agents moved it to each other, and the reply to the first move was lost.
+TEST(Agent, AFlowThatComesBackBeforeTheReplyIsNotLost)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    const Address other = owner == agentAddress(0) ? agentAddress(1) : agentAddress(0);
+    network.find(owner)->beginStop();
+    network.tickAll();
+    deliverOnly<FlowMove>(network);
+    network.inFlight.clear(); // The reply is lost.
+    network.find(other)->beginStop();
+    network.advance(2s);
+    CHECK_EQUAL(0U, network.find(owner)->flowTable().size());
+    CHECK_EQUAL(1U, network.find(other)->flowTable().size());
+}
+
+// Guards against a flow that nobody ends, if its move does not succeed while its zone is out.
+TEST(Agent, ZoneOutGivesUpAFlowWhoseMoveDoesNotSucceed)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    network.find(owner)->beginStop();
+    network.tickAll();
+    network.inFlight.clear(); // The move is lost.
+    network.setRules(2, testRules("zone a out # operator\nzone b out # operator\n"));
+    network.advance(500ms);
+    CHECK_TRUE(network.notices(FlowEvent::GivenUp) > 0);
+    CHECK_TRUE(network.find(owner)->isDrained());
+}
+
+// Guards against a closed flow that is declared lost, since its confirmation was lost and its zone went out.
+TEST(Agent, ZoneOutConfirmsTheFlowsThatWereJustClosed)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    sendThrough(network, view, closingPacket(testFlow()));
+    network.toCallers.clear();
+    network.setRules(2, testRules(concat("zone ", network.find(owner)->self().zone, " out # operator\n")));
+    network.advance(2s);
+    CHECK_TRUE(network.notices(FlowEvent::Closed) > 0);
+    CHECK_EQUAL(0U, network.notices(FlowEvent::GivenUp));
+}
+
+// Guards against a closed flow that is declared lost, since its confirmation was lost and its agent left.
+TEST(Agent, LeavingAgentConfirmsTheFlowsThatWereJustClosed)
+{
+    TestNetwork network(2);
+    const TestView view(0s, readyAgents(2));
+    const Address owner = openFlow(network, view, testFlow());
+    sendThrough(network, view, closingPacket(testFlow()));
+    network.toCallers.clear();
+    network.find(owner)->beginStop();
+    network.collect([&](Actions& actions) { network.find(owner)->leave(network.now, actions); });
+    network.advance(2s);
+    CHECK_TRUE(network.notices(FlowEvent::Closed) > 0);
 }
 
 TEST(Agent, NoPacketIsPassedIntoAZoneThatIsOut)
