--- a/tests/test_network.h
+++ b/tests/test_network.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -112,7 +113,9 @@
     void tickAll()
     {
         for (const auto& agent : this->agents) {
-            this->collect([&](Actions& actions) { agent->tick(this->now, actions); });
+            if (!this->ended.contains(agent->self().address)) {
+                this->collect([&](Actions& actions) { agent->tick(this->now, actions); });
+            }
         }
     }
 
@@ -123,7 +126,7 @@
     {
         const SendMessage next = this->inFlight[index];
         this->inFlight.erase(this->inFlight.begin() + static_cast<std::ptrdiff_t>(index));
-        if (Agent* agent = this->find(next.to); agent != nullptr) {
+        if (Agent* agent = this->find(next.to); agent != nullptr && !this->ended.contains(next.to)) {
             this->collect([&](Actions& actions) { agent->onMessage(this->now, next.message, actions); });
         }
     }
@@ -172,6 +175,7 @@
     std::vector<UpstreamRequestId> cancelled;
     std::vector<SendMessage> inFlight;
     std::vector<std::unique_ptr<Agent>> agents;
+    std::set<Address> ended; ///< Agents that have ended without anybody's notice: messages to them are lost.
     TimePoint now { 1s };
 
     /** Calls @p function and sorts the actions that it appends into the members above. */
