The first agent on the way of a request's packet awaits the owner's report, else it searches

What callers saw: requests of an idle flow got no answer until their deadline. Shown by a unit test; no run with real processes was made.

Without a pointer a packet is forwarded from candidate to candidate, and nobody notices when one of them has ended but still counts as alive, or when a datagram is lost; each retransmission takes the same way. A pointer to an agent that has handed the flow over and ended hides the flow in the same way.

Ruled out, by the test without an ended agent: a way that does not reach the owner (all 32 owners get the request).

Change: the first agent keeps the packet and names itself in ForwardedPacket::searcher, unused in this mode so far. The owner reports to it (FlowQueryReply); after 60 ms without a report it asks all agents at once. A pointer that its owner confirmed within 1 s is followed without a report. Such a search finds owners only: it declares no flow lost, and a flow that arrives by a move or an opening ends it, so it adds no owner. Openings have no lookup. A packet that arrives twice is a retransmission.

Why it works: the report needs only the first agent and the owner. Not covered: a first agent that has ended itself.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -151,6 +151,7 @@
         this->count.add(Counter::FlowsGivenUp);
     }
     this->flows.clear();
+    this->lookups.clear();
     this->searches.clear();
     this->noticeResendsLeft = noticeResendCount;
     this->nextNoticeResend = now + noticeResendPeriod;
@@ -276,6 +277,7 @@
     this->updateTable();
     this->requests.tick(now, actions);
     this->moveFlows(now, actions);
+    this->tickLookups(now, actions);
     this->tickSearches(now, actions);
     this->resendNotices(now, actions);
     this->sendLoad(now, actions);
--- a/src/agent/agent_base.h
+++ b/src/agent/agent_base.h
@@ -100,10 +100,17 @@
         std::set<Address> pending; ///< Agents that were queried in this round and have not replied.
         int round = 1; ///< 1 or 2: all agents are queried twice before the flow is declared lost.
         int redirects = 0; ///< Replies that named another agent as owner.
+        bool mayDeclareLost = false; ///< A packet of the flow has visited all its candidates.
         TimePoint startedAt {}; ///< When the search began.
         TimePoint queriedAt {}; ///< When the pending agents were last queried.
     };
 
+    /** A packet is on its way to another agent; the owner is to report to this agent. */
+    struct Lookup {
+        ForwardedPacket packet; ///< Latest packet of the flow; forwarded once a search finds the owner.
+        TimePoint startedAt {}; ///< When the first packet was forwarded.
+    };
+
     // agent.cpp
     void handle(TimePoint now, const AnnounceReply& reply, Actions& actions);
     /** Fetches the configuration from a balancer that has a later one. */
@@ -148,8 +155,16 @@
     /** Stores a pointer to a flow's owner, or a tombstone. */
     void remember(TimePoint now, const FlowKey& flow, ForeignFlowKind kind, Address owner);
 
+    // agent_lookup.cpp
+    void beginLookup(TimePoint now, ForwardedPacket& forwarded);
+    void reportToFirstAgent(const ForwardedPacket& forwarded, FlowQueryReply reply, Actions& actions) const;
+    void handleLookupReport(TimePoint now, const FlowQueryReply& reply);
+    /** Stores a pointer to an owner that has itself reported that it holds the flow. */
+    void rememberConfirmed(TimePoint now, const FlowKey& flow, Address owner);
+    void tickLookups(TimePoint now, Actions& actions);
+
     // agent_search.cpp
-    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, bool mayDeclareLost, Actions& actions);
     void tickSearches(TimePoint now, Actions& actions);
     void handle(const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
@@ -179,6 +194,7 @@
     BucketTable table; ///< Bucket table of the agent's service, computed as the balancers do.
     uint64_t tableChangeCount = 0; ///< PeerSystem::changeCount() that the table was built from.
     Revision tableRevision = 0; ///< Revision of the rules that the table was built from.
+    std::unordered_map<FlowKey, Lookup> lookups; ///< Flows for which this agent is the first on a packet's way and awaits the owner's report.
     std::unordered_map<FlowKey, Search> searches;
     double searchTokens = 0; ///< Token bucket that limits the rate of searches.
     TimePoint lastTick {};
--- a/src/agent/agent_move.cpp
+++ b/src/agent/agent_move.cpp
@@ -100,6 +100,7 @@
             flow.finished.watermark = move.finishedThrough;
             flow.moveCount = move.moveCount;
             this->foreignFlows.erase(move.flow);
+            this->lookups.erase(move.flow);
             this->searches.erase(move.flow);
             this->count.add(Counter::FlowsReceived);
         }
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -36,6 +36,7 @@
     ForeignFlow& foreign = this->foreignFlows[flow];
     foreign.kind = kind;
     foreign.owner = owner;
+    foreign.confirmedAt = {};
     foreign.expires = now + (kind == ForeignFlowKind::OwnedElsewhere ? pointerRetention : tombstoneRetention);
 }
 
@@ -93,6 +94,7 @@
     ++forwarded.hops;
     const FlowKey& key = forwarded.packet.flow;
     if (const auto flow = this->flows.find(key); flow != this->flows.end()) {
+        this->reportToFirstAgent(forwarded, { .owner = this->settings.address }, actions);
         this->deliver(now, flow->second, forwarded.packet, actions);
         return;
     }
@@ -105,6 +107,7 @@
     }
     if (const auto foreign = this->foreignFlows.find(key); foreign != this->foreignFlows.end()) {
         if (foreign->second.kind != ForeignFlowKind::OwnedElsewhere) {
+            this->reportToFirstAgent(forwarded, {}, actions);
             const bool isClosed = foreign->second.kind == ForeignFlowKind::Closed;
             this->notify(key,
                 {
@@ -117,6 +120,7 @@
         const Address owner = foreign->second.owner;
         if (owner.isValid() && !isVisited(forwarded, owner) && this->isUsableAgent(owner)) {
             foreign->second.expires = now + pointerRetention;
+            this->beginLookup(now, forwarded);
             this->forward(forwarded, owner, actions);
             return;
         }
@@ -134,8 +138,9 @@
         this->handleOpening(now, forwarded, actions);
         return;
     }
+    this->beginLookup(now, forwarded);
     if (!this->forwardToNext(forwarded, actions)) {
-        this->beginSearch(now, forwarded, actions);
+        this->beginSearch(now, forwarded, true, actions);
     }
 }
 
@@ -215,6 +220,8 @@
 
 void Agent::acceptFlow(TimePoint now, const FlowPacket& packet, Actions& actions)
 {
+    this->lookups.erase(packet.flow);
+    this->searches.erase(packet.flow);
     Flow& flow = this->flows[packet.flow];
     flow.key = packet.flow;
     this->count.add(Counter::FlowsOpened);
--- a/src/agent/agent_search.cpp
+++ b/src/agent/agent_search.cpp
@@ -19,11 +19,13 @@
 
 } // namespace
 
-void Agent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
+void Agent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, bool mayDeclareLost, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
     if (const auto running = this->searches.find(key); running != this->searches.end()) {
         running->second.packet = forwarded;
+        running->second.mayDeclareLost |= mayDeclareLost;
+        this->reportToFirstAgent(forwarded, {}, actions); // One search is enough.
         return;
     }
     if (this->searchTokens < 1 || this->searches.size() >= maximumSearches) {
@@ -32,8 +34,11 @@
     }
     this->searchTokens -= 1;
     this->count.add(Counter::Searches);
+    this->lookups.erase(key);
+    this->reportToFirstAgent(forwarded, {}, actions);
     Search& search = this->searches[key];
     search.packet = forwarded;
+    search.mayDeclareLost = mayDeclareLost;
     search.startedAt = now;
     this->queryAllAgents(now, key, search, actions);
 }
@@ -78,6 +83,7 @@
 {
     const auto found = this->searches.find(reply.flow);
     if (found == this->searches.end()) {
+        this->handleLookupReport(now, reply);
         return;
     }
     if (!reply.owner.isValid()) {
@@ -98,7 +104,7 @@
     }
     ForwardedPacket forwarded = std::move(found->second.packet);
     this->searches.erase(found);
-    this->remember(now, reply.flow, ForeignFlowKind::OwnedElsewhere, reply.owner);
+    this->rememberConfirmed(now, reply.flow, reply.owner);
     this->forward(forwarded, reply.owner, actions);
 }
 
@@ -121,8 +127,14 @@
 void Agent::finishSearch(TimePoint now, const FlowKey& flow, Actions& actions)
 {
     const auto found = this->searches.find(flow);
-    const bool isUnfinished = found == this->searches.end() || !found->second.pending.empty();
-    if (isUnfinished || !this->canDeclareLost(now)) {
+    if (found == this->searches.end() || !found->second.pending.empty()) {
+        return;
+    }
+    if (!found->second.mayDeclareLost) {
+        this->searches.erase(found); // The caller's next retransmission begins again.
+        return;
+    }
+    if (!this->canDeclareLost(now)) {
         return;
     }
     // A flow that moved between the replies of its old and its new owner is missed by both, hence a second round.
--- a/src/agent/flow_base.h
+++ b/src/agent/flow_base.h
@@ -77,6 +77,7 @@
     ForeignFlowKind kind = ForeignFlowKind::OwnedElsewhere;
     Address owner; ///< For OwnedElsewhere; not valid if the pointer turned out to be wrong.
     uint32_t moveCount = 0; ///< Number of moves, the one away from this agent included; 0 if this agent never moved the flow.
+    TimePoint confirmedAt {}; ///< When the owner itself last reported that it holds the flow; zero if it has not.
     TimePoint expires {}; ///< When the entry is dropped.
 };
 
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -58,7 +58,7 @@
     bool isPlaced = false;
     Address home; ///< Agent that ranks first for the flow. It chooses the owner, or is told who took an opaque flow.
     Address balancer; ///< Balancer that an OpeningOutcome is sent to; not valid if none is wanted.
-    Address searcher; ///< Agent that searches for the flow and is told whether the receiver holds it; not valid outside searches.
+    Address searcher; ///< Agent that is told whether the receiver holds the flow: it searches for it or awaits the owner's report. Not valid if none does.
 
     bool operator==(const ForwardedPacket&) const = default;
 };
--- a/tests/agent_lookup_test.cpp
+++ b/tests/agent_lookup_test.cpp
@@ -91,3 +91,185 @@
     CHECK_EQUAL(0U, unanswered);
     CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
 }
+
+/** A pointer to an agent that had handed the flow over and ended hid the flow for as long. */
+TEST(AgentLookup, APointerToAnEndedAgentDoesNotHideItsMovedFlow)
+{
+    size_t movedAside = 0;
+    for (uint16_t port = 4000; port < 4060; ++port) {
+        TestNetwork network(agentCount);
+        const FlowKey flow = testFlow(port);
+        const Address owner = openFlow(network, TestView(0s, readyAgents(agentCount)), flow);
+        // The balancer's view lacks the owner, so that another agent than the new owner is first on the way.
+        std::vector<MemberRecord> others = readyAgents(agentCount);
+        std::erase_if(others, [owner](const MemberRecord& record) { return record.address == owner; });
+        network.find(owner)->beginStop();
+        network.advance(500ms);
+        const std::vector<Address> owners = network.owners(flow);
+        CHECK_EQUAL(1U, owners.size());
+        std::erase_if(others, [&owners](const MemberRecord& record) { return record.address == owners.front(); });
+        const ForwardedPacket first = TestView(0s, others).route(network.now, requestPacket(flow, 0));
+        // The first agent learned of the flow while the old owner still held it.
+        ForwardedPacket opening { .packet = openingPacket(flow), .service = first.service, .candidates = { first.home, owner }, .home = owner };
+        network.send(first.home, opening);
+        network.deliver(network.inFlight.size() - 1);
+        network.inFlight.clear();
+        network.ended = { owner };
+        movedAside += sendUntilOwnerHasIt(network, TestView(0s, others), owners.front(), flow) ? 1 : 0;
+        CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+    }
+    CHECK_EQUAL(60U, movedAside);
+}
+
+/** Guards against a lookup that declares a closed flow lost, since the report from the agent that knows of its end was lost. */
+TEST(AgentLookup, ALookupOfAClosedFlowDoesNotDeclareItLost)
+{
+    TestNetwork network(agentCount);
+    const TestView view(0s, readyAgents(agentCount));
+    network.advance(6s);
+    const Address owner = openFlow(network, view, testFlow());
+    const FlowPacket closing { .flow = testFlow(), .mark = PacketMark::Closing, .payload = encodePayload(FlowNotice { .event = FlowEvent::Closed }) };
+    ForwardedPacket forwarded = view.route(network.now, closing);
+    network.send(owner, forwarded);
+    network.deliverAll();
+    CHECK_EQUAL(1U, network.notices(FlowEvent::Closed));
+    for (const std::unique_ptr<Agent>& agent : network.agents) {
+        const Address first = agent->self().address;
+        if (first == owner) {
+            continue;
+        }
+        forwarded.candidates = { first, owner };
+        network.send(first, forwarded);
+        network.deliver(0);
+        network.inFlight.clear(); // The packet to the agent that knows of the end is lost.
+        network.advance(1s);
+        CHECK_EQUAL(1U, agent->counters().get(Counter::Searches));
+    }
+    CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+}
+
+/** Guards against a lookup that declares the idle flows of agents lost that are cut off, and then counted as gone, for a while. */
+TEST(AgentLookup, ALookupDoesNotDeclareTheFlowOfASilentAgentLost)
+{
+    TestNetwork network(agentCount);
+    network.advance(6s);
+    std::vector<MemberRecord> records = readyAgents(agentCount);
+    const TestView view(0s, records);
+    const Address owner = openFlow(network, view, testFlow());
+    const Address first = owner == agentAddress(0) ? agentAddress(1) : agentAddress(0);
+    network.ended = { owner };
+    ForwardedPacket forwarded { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { first, owner } };
+    network.send(first, forwarded);
+    network.deliverAll();
+    network.advance(1s);
+    CHECK_EQUAL(1U, network.find(first)->counters().get(Counter::Searches));
+    for (MemberRecord& record : records) {
+        record.liveness = record.address == owner ? Liveness::Gone : record.liveness;
+    }
+    network.setPeers(records);
+    network.advance(2s);
+    CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+}
+
+/** Guards against an agent that searches for its own flow, since its lookup is older than the flow here. */
+TEST(AgentLookup, AFlowThatArrivesEndsItsLookup)
+{
+    const Address first = agentAddress(0);
+    const Message move = FlowMove { .service = hashText("orders"), .flow = testFlow(), .from = agentAddress(1), .moveCount = 1 };
+    const Message opening = ForwardedPacket {
+        .packet = openingPacket(testFlow()),
+        .service = hashText("orders"),
+        .candidates = { first },
+        .isPlaced = true,
+        .home = first,
+    };
+    for (const Message& arrival : { move, opening }) {
+        TestNetwork network(agentCount);
+        network.advance(6s);
+        ForwardedPacket forwarded { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { first, agentAddress(1) } };
+        network.send(first, forwarded);
+        network.deliver(0);
+        network.inFlight.clear();
+        network.send(first, arrival);
+        network.deliverAll();
+        network.advance(2s);
+        CHECK_TRUE(network.owners(testFlow()) == std::vector<Address> { first });
+        CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+        CHECK_EQUAL(0U, network.find(first)->counters().get(Counter::Searches));
+    }
+}
+
+/** Guards against a second owner, a second run and a false loss while a flow moves, agents end and datagrams are lost. */
+TEST(AgentLookup, MovesDuringLookupsKeepOneOwner)
+{
+    constexpr uint32_t lossPerMillion = 100'000;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        SeededRandom random(seed);
+        TestNetwork network(agentCount);
+        network.advance(6s);
+        const FlowKey flow = testFlow(static_cast<uint16_t>(4000 + seed));
+        std::vector<MemberRecord> records = readyAgents(agentCount);
+        openFlow(network, TestView(0s, readyAgents(earlierAgentCount)), flow);
+        std::set<std::string> keys;
+        const auto step = [&] {
+            network.now += 10ms;
+            network.tickAll();
+            for (size_t count = random.below(static_cast<uint32_t>(network.inFlight.size() + 20)); count > 0 && !network.inFlight.empty(); --count) {
+                const size_t index = random.below(static_cast<uint32_t>(network.inFlight.size()));
+                if (random.chance(lossPerMillion)) {
+                    network.inFlight.erase(network.inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+                } else {
+                    network.deliver(index);
+                }
+            }
+            for (const std::unique_ptr<Agent>& agent : network.agents) {
+                if (agent->isDrained()) {
+                    network.ended.insert(agent->self().address);
+                }
+            }
+            CHECK_TRUE(network.owners(flow).size() <= 1);
+        };
+        for (uint64_t request = 1; request <= 6; ++request) {
+            // One agent drains; it ends without notice once it has no flow.
+            const uint32_t leaving = random.below(agentCount);
+            const auto isReady = [](const MemberRecord& record) { return record.state == MemberState::Ready; };
+            if (std::count_if(records.begin(), records.end(), isReady) > 3) {
+                records[leaving].state = MemberState::Draining;
+                records[leaving].version = 2;
+                network.agents[leaving]->beginStop();
+                network.setPeers(records);
+            }
+            const TestView view(0s, records);
+            const std::string key = "request " + std::to_string(request);
+            bool isAnswered = false;
+            Duration nextSend = 0ms;
+            for (Duration elapsed = 0ms; elapsed < 4s && !isAnswered; elapsed += 10ms) {
+                if (elapsed >= nextSend) {
+                    nextSend += initialInterval;
+                    const ForwardedPacket forwarded = view.route(network.now, requestPacket(flow, request, key));
+                    network.send(forwarded.candidates.front(), forwarded);
+                }
+                step();
+                for (const StartUpstreamRequest& handOver : std::exchange(network.handOvers, {})) {
+                    CHECK_TRUE(keys.insert(handOver.key).second);
+                    for (const std::unique_ptr<Agent>& agent : network.agents) {
+                        if (agent->requestSystem().inFlight() > 0) {
+                            network.collect([&](Actions& actions) {
+                                agent->onUpstreamResult(network.now, { handOver.id, UpstreamOutcome::Answered, { 'y' } }, actions);
+                            });
+                        }
+                    }
+                    isAnswered = true;
+                }
+            }
+            CHECK_TRUE(isAnswered);
+            const FlowPacket confirm { .flow = flow, .payload = encodePayload(AnswerAck { .requestId = request }) };
+            const ForwardedPacket forwarded = view.route(network.now, confirm);
+            network.send(forwarded.candidates.front(), forwarded);
+            for (int count = 0; count < 50; ++count) {
+                step();
+            }
+        }
+        CHECK_EQUAL(0U, network.notices(FlowEvent::Lost));
+    }
+}
