--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -129,6 +129,7 @@
     }
     if (this->isZoneOut() && !this->wasZoneOut) {
         this->giveUpFlows(now, actions);
+        this->lookups.clear();
         this->searches.clear();
         this->beginResendingEnds(now);
     }
@@ -300,6 +301,7 @@
         this->giveUpFlows(now, actions); // Those whose move did not succeed.
     }
     this->moveFlows(now, actions);
+    this->tickLookups(now, actions);
     this->tickSearches(now, actions);
     this->resendEnds(now, actions);
     this->sendLoad(now, actions);
--- a/src/agent/agent_route.cpp
+++ b/src/agent/agent_route.cpp
@@ -47,6 +47,7 @@
     ForeignFlow& foreign = this->foreignFlows[flow];
     foreign.kind = kind;
     foreign.owner = owner;
+    foreign.confirmedAt = {};
     foreign.expires = now + (kind == ForeignFlowKind::OwnedElsewhere ? pointerRetention : tombstoneRetention);
     return foreign;
 }
@@ -105,6 +106,7 @@
     ++forwarded.hops;
     const FlowKey& key = forwarded.packet.flow;
     if (const auto flow = this->flows.find(key); flow != this->flows.end()) {
+        this->reportToFirstAgent(forwarded, { .owner = this->settings.address }, actions);
         this->deliver(now, flow->second, forwarded.packet, actions);
         return;
     }
@@ -117,12 +119,14 @@
     }
     if (const auto foreign = this->foreignFlows.find(key); foreign != this->foreignFlows.end()) {
         if (foreign->second.kind != ForeignFlowKind::OwnedElsewhere) {
+            this->reportToFirstAgent(forwarded, {}, actions);
             this->notifyEnd(key, foreign->second, actions);
             return;
         }
         const Address owner = foreign->second.owner;
         if (owner.isValid() && !isVisited(forwarded, owner) && this->isUsableAgent(owner)) {
             foreign->second.expires = now + pointerRetention;
+            this->beginLookup(now, forwarded);
             this->forward(forwarded, owner, actions);
             return;
         }
@@ -140,8 +144,9 @@
         this->handleOpening(now, forwarded, actions);
         return;
     }
+    this->beginLookup(now, forwarded);
     if (!this->forwardToNext(forwarded, actions)) {
-        this->beginSearch(now, forwarded, actions);
+        this->beginSearch(now, forwarded, true, actions);
     }
 }
 
@@ -221,6 +226,8 @@
 
 void Agent::acceptFlow(TimePoint now, const FlowPacket& packet, Actions& actions)
 {
+    this->lookups.erase(packet.flow);
+    this->searches.erase(packet.flow);
     Flow& flow = this->flows[packet.flow];
     flow.key = packet.flow;
     this->count.add(Counter::FlowsOpened);
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -239,7 +239,9 @@
     transferList(archive, notice.zone, maximumNameBytes);
     archive(notice.retryAfterMs);
     transferList(archive, notice.mayHaveRun, maximumNoticeRequests);
-    archive(notice.mayHaveRunThrough);
+    if (notice.event == FlowEvent::GivenUp) {
+        archive(notice.mayHaveRunThrough); // Callers and agents of the earlier version still understand all other notices.
+    }
 }
 
 } // namespace lavender
