--- a/tests/agent_lookup_test.cpp
+++ b/tests/agent_lookup_test.cpp
@@ -1,5 +1,5 @@
 /** @file agent_lookup_test.cpp Packets of idle flows reach their owners although an agent on the way has ended. */
-#include "test_network.h"
+#include "agent_test.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,17 +14,8 @@
 constexpr Duration maximumInterval = 800ms; ///< Between later retransmissions (docs/design/exchange.md).
 constexpr Duration requestTime = 4s; ///< RequestPart::remainingMs of requestPacket(): the caller gives up after it.
 
-std::vector<MemberRecord> readyAgents(uint32_t count)
-{
-    std::vector<MemberRecord> records;
-    for (uint32_t index = 0; index < count; ++index) {
-        records.push_back(agentRecord(index));
-    }
-    return records;
-}
-
 /** Opens a flow at its home in a balancer's view. @return The flow's owner. */
-Address openFlow(TestNetwork& network, const TestView& view, const FlowKey& flow)
+Address openFlowAtHome(TestNetwork& network, const TestView& view, const FlowKey& flow)
 {
     ForwardedPacket forwarded = view.route(network.now, openingPacket(flow));
     forwarded.isPlaced = true; // Its home has chosen itself.
@@ -72,7 +63,7 @@
     const TestView after(0s, readyAgents(agentCount));
     std::map<uint16_t, Address> owners;
     for (uint16_t port = 4000; port < 4200; ++port) {
-        owners[port] = openFlow(network, before, testFlow(port));
+        owners[port] = openFlowAtHome(network, before, testFlow(port));
     }
     network.now += idleTime;
     network.advance(1s);
@@ -99,7 +90,7 @@
     for (uint16_t port = 4000; port < 4060; ++port) {
         TestNetwork network(agentCount);
         const FlowKey flow = testFlow(port);
-        const Address owner = openFlow(network, TestView(0s, readyAgents(agentCount)), flow);
+        const Address owner = openFlowAtHome(network, TestView(0s, readyAgents(agentCount)), flow);
         // The balancer's view lacks the owner, so that another agent than the new owner is first on the way.
         std::vector<MemberRecord> others = readyAgents(agentCount);
         std::erase_if(others, [owner](const MemberRecord& record) { return record.address == owner; });
@@ -127,7 +118,7 @@
     TestNetwork network(agentCount);
     const TestView view(0s, readyAgents(agentCount));
     network.advance(6s);
-    const Address owner = openFlow(network, view, testFlow());
+    const Address owner = openFlowAtHome(network, view, testFlow());
     const FlowPacket closing { .flow = testFlow(), .mark = PacketMark::Closing, .payload = encodePayload(FlowNotice { .event = FlowEvent::Closed }) };
     ForwardedPacket forwarded = view.route(network.now, closing);
     network.send(owner, forwarded);
@@ -155,7 +146,7 @@
     network.advance(6s);
     std::vector<MemberRecord> records = readyAgents(agentCount);
     const TestView view(0s, records);
-    const Address owner = openFlow(network, view, testFlow());
+    const Address owner = openFlowAtHome(network, view, testFlow());
     const Address first = owner == agentAddress(0) ? agentAddress(1) : agentAddress(0);
     network.ended = { owner };
     ForwardedPacket forwarded { .packet = requestPacket(testFlow(), 1), .service = hashText("orders"), .candidates = { first, owner } };
@@ -209,7 +200,7 @@
         network.advance(6s);
         const FlowKey flow = testFlow(static_cast<uint16_t>(4000 + seed));
         std::vector<MemberRecord> records = readyAgents(agentCount);
-        openFlow(network, TestView(0s, readyAgents(earlierAgentCount)), flow);
+        openFlowAtHome(network, TestView(0s, readyAgents(earlierAgentCount)), flow);
         std::set<std::string> keys;
         const auto step = [&] {
             network.now += 10ms;
