The search of a lookup asks for the owner and does not probe

What callers could see: one packet of a flow whose owner's agent was paused reached up to nine other upstreams (three in two seconds break a promise).

Cause: the first agent searches 60 ms after a packet without a report, and sent it to each agent that could not rule out the flow, to be probed. Before the lookups the packet would have waited at the paused agent.

Change: this search only asks for the owner; what agents on the way and the search after the last candidate probe stays as it was. It never declares a flow lost either. The test fails if it probes.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -85,6 +85,7 @@
         TimePoint startedAt {};
         TimePoint lastQueryAt {};
         std::optional<TimePoint> firstRoundEndedAt; ///< When all agents known at the start had denied the flow; none before.
+        bool isLookup = false; ///< Begun because the owner did not report: it does not probe, and never declares the flow lost.
         bool isSecondRound = false; ///< All agents are asked again, including those that have become known since.
     };
 
@@ -169,7 +170,7 @@
 
     // packet_search.cpp
     bool maySearch() const;
-    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    void beginSearch(TimePoint now, const ForwardedPacket& forwarded, bool isLookup, Actions& actions);
     std::set<Address> peersWithUpstream() const;
     void queryPeers(const FlowKey& flow, const Search& search, Actions& actions);
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
--- a/src/packet/packet_lookup.cpp
+++ b/src/packet/packet_lookup.cpp
@@ -66,7 +66,7 @@
             break;
         }
         const auto node = this->lookups.extract(flow);
-        this->beginSearch(now, node.mapped().packet, actions);
+        this->beginSearch(now, node.mapped().packet, true, actions);
     }
 }
 
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -316,7 +316,7 @@
     }
     if (!this->forwardToNextCandidate(forwarded, actions)) {
         this->lookups.erase(forwarded.packet.flow);
-        this->beginSearch(now, forwarded, actions);
+        this->beginSearch(now, forwarded, false, actions);
     }
 }
 
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -21,12 +21,19 @@
     return this->searchTokens >= 1 && this->searches.size() < maximumSearches;
 }
 
-void PacketAgent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
+/**
+ * Begins a search. One for a lookup only asks for the owner: the packet is on its way along the candidates still, and each probe is a packet at
+ * an upstream that most likely does not hold the flow.
+ */
+void PacketAgent::beginSearch(TimePoint now, const ForwardedPacket& forwarded, bool isLookup, Actions& actions)
 {
     const FlowKey& key = forwarded.packet.flow;
     if (const auto running = this->searches.find(key); running != this->searches.end()) {
         running->second.packet = forwarded;
-        return;
+        if (isLookup || !running->second.isLookup) {
+            return;
+        }
+        this->searches.erase(running);
     }
     if (!this->maySearch()) {
         this->count.add(Counter::SearchesLimited);
@@ -42,6 +49,7 @@
     this->count.add(Counter::Searches);
     Search& search = this->searches[key];
     search.packet = forwarded;
+    search.isLookup = isLookup;
     search.startedAt = now;
     search.lastQueryAt = now;
     search.pendingPeers = this->peersWithUpstream();
@@ -104,6 +112,9 @@
         return;
     }
     Search& search = found->second;
+    if (search.isLookup && !reply.owner.isValid()) {
+        return;
+    }
     if (reply.mayHoldFlow) {
         if (search.probedPeers.insert(reply.responder).second) {
             ForwardedPacket probeRequest = search.packet;
@@ -136,7 +147,7 @@
 void PacketAgent::endRoundIfComplete(TimePoint now, const FlowKey& flow, Actions& actions)
 {
     Search& search = this->searches[flow];
-    if (!search.pendingPeers.empty()) {
+    if (search.isLookup || !search.pendingPeers.empty()) {
         return;
     }
     if (search.isSecondRound) {
--- a/tests/packet_lookup_test.cpp
+++ b/tests/packet_lookup_test.cpp
@@ -316,3 +316,24 @@
     scene.fromUpstream(makePacket(caller(LookupScene::port), packetService, AcknowledgingFlag | ReturnedFlag, 1, 1001, 20));
     CHECK_TRUE(scene.repliesTo(first).front().mayHoldFlow); // Its search is reported to the same agent.
 }
+
+/** One packet of a flow whose owner's agent was paused reached nine other upstreams: agents that could not rule out the flow probed for the lookup. */
+TEST(PacketLookup, APausedOwnerDoesNotSpreadThePacketOverOtherUpstreams)
+{
+    PacketNetwork network(12);
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.open(11, port);
+    }
+    network.advance(idleTime);
+    network.nodes[11].isRunning = false;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        network.send(0, dataPacket(port, 11), { packetAgent(0), packetAgent(11) });
+        size_t before = 0;
+        size_t after = 0;
+        std::for_each(network.nodes.begin(), network.nodes.end(), [&](const PacketNode& node) { before += node.deliveries; });
+        network.advance(firstRetransmission);
+        std::for_each(network.nodes.begin(), network.nodes.end(), [&](const PacketNode& node) { after += node.deliveries; });
+        CHECK_EQUAL(before, after);
+    }
+    CHECK_EQUAL(0, network.resets);
+}
