--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -188,15 +188,18 @@
             reader.addFault(namePosition, concat("\"", *name, "\": expected the name of a service defined above"));
             return;
         }
-        if (!configuration.serviceByAddress.emplace(*address, configuration.serviceByHash[service->nameHash]).second) {
+        const ServiceId id = configuration.serviceByHash[service->nameHash];
+        if (!configuration.serviceByAddress.emplace(*address, id).second) {
             reader.addFault(addressPosition,
                 concat("address ", formatAddress(*address), " is already used by a service or route: expected an unused one"));
             return;
         }
+        RouteRule& route = configuration.routes[*address];
+        route.shares.push_back({ .service = id });
         if (reader.isNext("goal")) {
             (void)reader.takeKeyword("goal");
             const std::optional<uint32_t> goal = reader.takeNumber(1, maximumLatencyGoalMilliseconds);
-            configuration.latencyGoals[*address] = std::chrono::milliseconds(goal.value_or(1));
+            route.latencyGoal = std::chrono::milliseconds(goal.value_or(1));
         }
     }
 
--- a/src/config/rule_type.h
+++ b/src/config/rule_type.h
@@ -31,6 +31,20 @@
     uint64_t nameHash = 0; ///< hashText(name), which identifies the service on the wire.
 };
 
+/** A part of a route's new flows that goes to one service. */
+struct RouteShare {
+    ServiceId service;
+    uint32_t weight = 1; ///< Share relative to the weights of the route's other services.
+};
+
+/** Route rule: an address that callers reach one or several services at, and what its requests need. */
+struct RouteRule {
+    std::vector<RouteShare> shares; ///< At least one; in the order of the rule.
+    std::optional<Duration> latencyGoal; ///< Wanted time from the caller's first packet to the answer.
+    std::optional<Duration> timeout; ///< How long a caller waits for an answer; unknown if not set.
+    uint8_t priority = 0; ///< 0 is the most urgent.
+};
+
 /** Position in a rules file. */
 struct RulePosition {
     size_t line = 0; ///< From 1.
@@ -48,8 +62,8 @@
     Revision revision; ///< Revision of these rules; not valid if there are none yet.
     std::string text; ///< The rules file as the operators wrote it.
     std::vector<ServiceRule> services; ///< Indexed by ServiceId.
-    std::map<Address, ServiceId> serviceByAddress;
-    std::map<Address, Duration> latencyGoals; ///< By address of a route: wanted time from the caller's first packet to the answer.
+    std::map<Address, ServiceId> serviceByAddress; ///< Own addresses of services, and addresses of routes.
+    std::map<Address, RouteRule> routes; ///< By address; a service's own address has no entry.
     std::map<uint64_t, ServiceId> serviceByHash; ///< By ServiceRule::nameHash.
     std::set<std::pair<std::string, std::string>> announcePermissions; ///< Service and zone, or anyZone, of each announce rule.
     std::set<std::string> zones; ///< Zones that any rule names.
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -96,14 +96,14 @@
 size_t PacketAgent::queueLimit(Address service) const
 {
     const size_t slots = this->peers.self().slots;
-    const auto& goals = this->follower.current().latencyGoals;
-    const auto goal = goals.find(service);
+    const auto& routes = this->follower.current().routes;
+    const auto route = routes.find(service);
     const std::optional<Duration> processing = this->processingTime.mean();
-    if (goal == goals.end() || !processing) {
+    if (route == routes.end() || !route->second.latencyGoal || !processing) {
         return slots * defaultLimitHalves / 2;
     }
     // Half of all requests take longer than the mean; 4/3 of the mean covers most of them.
-    const Duration queueTime = goal->second - handshakeAllowance - *processing * 4 / 3;
+    const Duration queueTime = *route->second.latencyGoal - handshakeAllowance - *processing * 4 / 3;
     if (queueTime < Duration::zero()) {
         // Perhaps no upstream is fast enough for the goal: then the default limit holds. One that was fast enough and has slowed
         // down gets one original opening at a time, which measures whether it has recovered. Other originals go to other agents;
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -1,9 +1,7 @@
-/** @file packet_agent.cpp Messages, upstream reports, periodic work and status of a PacketAgent. */
+/** @file packet_agent.cpp Messages, upstream reports and periodic work of a PacketAgent. */
 #include "packet/packet_agent_base.h"
 
 #include "core/hash_func.h"
-#include "core/status_func.h"
-#include "core/text_func.h"
 
 #include <algorithm>
 
@@ -12,10 +10,6 @@
 namespace {
 
     constexpr Duration minimumFetchInterval = 500ms; ///< Least time between two snapshot requests.
-    constexpr Duration queryPeriod = 300ms; ///< Time between two queries of a search, and least time between its two rounds.
-    constexpr Duration searchTimeout = 1500ms; ///< A search without a result ends then, without a reset to the caller.
-    constexpr double searchesPerSecond = 200; ///< Refill rate of the token bucket.
-    constexpr double searchBurst = 400; ///< Capacity of the token bucket.
     constexpr uint16_t weightPerSlot = 100; ///< MemberRecord::weight counts hundredths of a slot.
     constexpr Duration minimumRestartTime = 150ms; ///< An agent that died takes at least this long to start again.
     constexpr Duration reportTimeout = 1s; ///< An upstream waits this long for the answer to a report.
@@ -287,40 +281,6 @@
     this->table = rule == nullptr ? BucketTable() : BucketTable(bucketMembers(this->peers.allAgents(), *rule, this->follower.current()));
 }
 
-void PacketAgent::tickSearches(TimePoint now, Actions& actions)
-{
-    const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
-    this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
-    std::vector<FlowKey> deniedByAll;
-    for (auto& [flow, search] : this->searches) {
-        const bool isRoundDue = search.firstRoundEndedAt && !search.isSecondRound && now - *search.firstRoundEndedAt >= queryPeriod;
-        if (isRoundDue && this->peers.lastSynchronizedAt() > *search.firstRoundEndedAt) {
-            this->beginSecondRound(now, flow, search, actions);
-        } else if (now - search.lastQueryAt >= queryPeriod) {
-            search.lastQueryAt = now;
-            this->queryPeers(flow, search, actions);
-        }
-        if (search.isSecondRound && search.pendingPeers.empty()) {
-            deniedByAll.push_back(flow);
-        }
-    }
-    for (const FlowKey& flow : deniedByAll) {
-        this->declareFlowLost(now, flow, actions);
-    }
-    for (const auto& [flow, search] : this->searches) {
-        if (now - search.startedAt >= searchTimeout) {
-            this->count.add(Counter::FlowsLost, search.isLookup ? 0 : 1);
-            this->events.log(EventLevel::Info, "search-timed-out",
-                {
-                    { "flow", formatFlow(flow) },
-                    { "pending", std::to_string(search.pendingPeers.size()) },
-                    { "round", search.isSecondRound ? "2" : "1" },
-                });
-        }
-    }
-    std::erase_if(this->searches, [now](const auto& entry) { return now - entry.second.startedAt >= searchTimeout; });
-}
-
 void PacketAgent::tick(TimePoint now, Actions& actions)
 {
     this->updateOwnRecord(now);
@@ -357,44 +317,4 @@
     this->peers.leave(now, this->follower.revision(), actions);
 }
 
-MetricsView PacketAgent::metrics() const
-{
-    return {
-        .counters = &this->count,
-        .gauges = {
-            { "flows", this->flows.size() },
-            { "requests_in_flight", this->flowsAwaitingAnswer },
-            { "revision", this->follower.revision().position.number },
-            { "era", this->follower.revision().position.era },
-        },
-        .histograms = {
-            { "handshake", &this->handshakeLatencies },
-            { "answer", &this->answerLatencies },
-        },
-    };
-}
-
-std::string PacketAgent::status(TimePoint now, uint64_t droppedDatagrams) const
-{
-    StatusView view {
-        .role = "agent",
-        .address = this->settings.address,
-        .zone = this->settings.zone,
-        .service = this->settings.service,
-        .state = toString(this->peers.self().state),
-        .revision = this->follower.revision(),
-        .counters = &this->count,
-    };
-    view.revisionAge = now - this->follower.inForceSince();
-    view.gauges = {
-        { "flows", this->flows.size() },
-        { "in_flight", this->flowsAwaitingAnswer },
-        { "slots", this->peers.self().slots },
-        { "datagrams_dropped", droppedDatagrams },
-        { "peers", this->peers.otherAgents().size() },
-        { "report_age_ms", static_cast<uint64_t>(toMilliseconds(now - this->latestReportAt)) },
-    };
-    return formatStatus(view);
-}
-
 } // namespace lavender
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -122,7 +122,6 @@
     void beginUpstreamLifetime(TimePoint now, const UpstreamReport& report);
     void updateOwnRecord(TimePoint now);
     void updateTable();
-    void tickSearches(TimePoint now, Actions& actions);
     bool isUpstreamYoungerThanAgent() const;
     bool hasUpstreamEnded(TimePoint now) const;
 
@@ -179,6 +178,7 @@
     void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
     void declareFlowLost(TimePoint now, const FlowKey& flow, Actions& actions);
     bool mayResetLostFlow(TimePoint now) const;
+    void tickSearches(TimePoint now, Actions& actions);
 
     // packet_return.cpp
     void handleReturnedPacket(TimePoint now, const Segment& segment, std::span<const uint8_t> packet, Actions& actions);
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -1,6 +1,7 @@
 /** @file packet_search.cpp Search for a flow's owner when no candidate is left: queries all agents of the service in two rounds. */
 #include "packet/packet_agent_base.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lavender {
@@ -8,6 +9,10 @@
 namespace {
 
     constexpr size_t maximumSearches = 1024;
+    constexpr Duration queryPeriod = 300ms; ///< Time between two queries of a search, and least time between its two rounds.
+    constexpr Duration searchTimeout = 1500ms; ///< A search without a result ends then, without a reset to the caller.
+    constexpr double searchesPerSecond = 200; ///< Refill rate of the token bucket.
+    constexpr double searchBurst = 400; ///< Capacity of the token bucket.
     /** An agent knows all others this long after a balancer first confirmed its view: each announces itself every 100 ms until known. */
     constexpr Duration minimumSynchronizedTime = 1s;
     /** A member declared gone within this time may come back with the flow; after it the callers have given their flows up. */
@@ -197,4 +202,38 @@
     }
 }
 
+void PacketAgent::tickSearches(TimePoint now, Actions& actions)
+{
+    const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
+    this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
+    std::vector<FlowKey> deniedByAll;
+    for (auto& [flow, search] : this->searches) {
+        const bool isRoundDue = search.firstRoundEndedAt && !search.isSecondRound && now - *search.firstRoundEndedAt >= queryPeriod;
+        if (isRoundDue && this->peers.lastSynchronizedAt() > *search.firstRoundEndedAt) {
+            this->beginSecondRound(now, flow, search, actions);
+        } else if (now - search.lastQueryAt >= queryPeriod) {
+            search.lastQueryAt = now;
+            this->queryPeers(flow, search, actions);
+        }
+        if (search.isSecondRound && search.pendingPeers.empty()) {
+            deniedByAll.push_back(flow);
+        }
+    }
+    for (const FlowKey& flow : deniedByAll) {
+        this->declareFlowLost(now, flow, actions);
+    }
+    for (const auto& [flow, search] : this->searches) {
+        if (now - search.startedAt >= searchTimeout) {
+            this->count.add(Counter::FlowsLost, search.isLookup ? 0 : 1);
+            this->events.log(EventLevel::Info, "search-timed-out",
+                {
+                    { "flow", formatFlow(flow) },
+                    { "pending", std::to_string(search.pendingPeers.size()) },
+                    { "round", search.isSecondRound ? "2" : "1" },
+                });
+        }
+    }
+    std::erase_if(this->searches, [now](const auto& entry) { return now - entry.second.startedAt >= searchTimeout; });
+}
+
 } // namespace lavender
