An agent that stops leaves the membership if nothing listens at its upstream's address

Cause: the agents that did not answer are those of upstreams that were draining when the power went. Such an upstream sends no heartbeat after the return and ends one second after the other. Its agent gets SIGTERM then, but takes the upstream for alive, since it has neither a report nor a deregistration, and so does not leave: it counts as alive for 5 s and holds up every search. Side by side, second by second: ended 35.5, 36.5, 37.5, 38.5, 39.5, 40.5, 41.5 s (agents), one more missing answer after each. Ruled out: agents out of reach or drowned in questions (all others answered each search), and agents known only from before the loss (balancers and agents had lost all memory). Change: at the signal to stop the agent opens a TCP connection to the upstream's address, where its status checks are served. If it is refused, the upstream has ended, and the agent leaves. A rolling restart beside a living upstream is as before, up to 50 ms later. The stand-ins of upstreams listen there too.

--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
+#include "daemon/listener_check.h"
 #include "daemon/log_func.h"
 #include "daemon/packet_socket.h"
 #include "daemon/program_func.h"
@@ -20,6 +21,7 @@
 namespace {
 
     constexpr Duration finalSendTime = 100ms; ///< Lets the last messages go out. Flows are not drained: the process that takes over after a restart carries them on.
+    constexpr Duration upstreamCheckTime = 50ms; ///< On one instance a connection is opened or refused in less than 1 ms.
     constexpr Duration leaveTime = 1s; ///< Instead of finalSendTime after a leave: until all balancers know of it, they send packets here, which are forwarded.
 
     class PacketAgentProcess final : public Process, public SeedFinder::Listener, public platform::ReportListener {
@@ -87,10 +89,18 @@
             }
         }
 
-        void onStop(TimePoint now, Actions& actions) override
+        /** Only an agent whose upstream has ended leaves the membership, and not every upstream says that it ends. */
+        void onStop(TimePoint /*now*/, Actions& /*actions*/) override
         {
-            this->agent.beginStop(now, actions);
-            this->exitTimer.startOnce(this->agent.hasLeft() ? leaveTime : finalSendTime, [this] { this->finish(ExitCode::Done); });
+            this->upstreamCheck.start(this->settings.upstreamPackets, upstreamCheckTime, [this](bool isRefused) {
+                if (isRefused) {
+                    this->agent.onUpstreamEnded();
+                }
+                Actions actions;
+                this->agent.beginStop(Process::now(), actions);
+                this->performAll(actions);
+                this->exitTimer.startOnce(this->agent.hasLeft() ? leaveTime : finalSendTime, [this] { this->finish(ExitCode::Done); });
+            });
         }
 
         void onReload() override
@@ -146,6 +156,7 @@
         std::unique_ptr<UdpSocket> upstream; ///< Packets to and from the upstream, and to callers.
         std::unique_ptr<CallerSender> callerSender; ///< Sends by @c upstream.
         std::unique_ptr<HttpServer> reports; ///< Endpoint for the reports of the upstream.
+        ListenerCheck upstreamCheck; ///< At the signal to stop: whether the upstream still runs.
         LoopTimer exitTimer; ///< Ends the process after the signal to stop.
     };
 
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -167,6 +167,7 @@
     this->latestReportAt = now;
     this->unansweredSince = TimePoint {};
     this->hasDeregistered = false;
+    this->isUpstreamKnownEnded = false;
     this->coldStartLimiter.onReport(now, report.coldLeft);
     this->updateOwnRecord(now);
     return true;
@@ -210,6 +211,17 @@
     this->hasDeregistered = true;
 }
 
+void PacketAgent::onUpstreamEnded()
+{
+    this->events.log(EventLevel::Info, "upstream-ended",
+        {
+            { "upstream", this->latestReport ? this->latestReport->id : "unknown" },
+            { "flows", std::to_string(this->flows.size()) },
+            { "reason", "no_listener" },
+        });
+    this->isUpstreamKnownEnded = true;
+}
+
 /**
  * True if the upstream started no earlier than this process: then this agent knows all its flows. Two values that show its age
  * must agree, one that does not depend on the time of day, which may jump, and the start time, which tells a new lifetime from
@@ -298,7 +310,7 @@
  */
 bool PacketAgent::hasUpstreamEnded(TimePoint now) const
 {
-    return (this->hasDeregistered && this->latestReport) || this->isUpstreamAbsent(now);
+    return this->isUpstreamKnownEnded || (this->hasDeregistered && this->latestReport) || this->isUpstreamAbsent(now);
 }
 
 /**
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -51,6 +51,9 @@
     /** Handles the message of upstream @p id that it shuts down. @param started Its start, Unix milliseconds; none if not stated. */
     void onUpstreamDeregistered(TimePoint now, std::string_view id, std::optional<uint64_t> started);
 
+    /** Handles the finding that no upstream runs beside this agent any more: its flows have ended. */
+    void onUpstreamEnded();
+
     /** Handles a snapshot that was fetched from another process. */
     void onSnapshot(TimePoint now, const Snapshot& snapshot, Actions& actions);
 
@@ -220,6 +223,7 @@
     TimePoint firstProbeAt {}; ///< When this process sent its first probe to the upstream.
     bool hasUpstreamSentOwnPacket = false; ///< Since this process started; returned packets and resets that answer a probe do not count.
     bool hasDeregistered = false; ///< The upstream has said that it shuts down, and no report has come since.
+    bool isUpstreamKnownEnded = false; ///< No process listens at the upstream's address, and no sign of life has come since.
     bool isStopping = false;
     bool wasZoneDraining = false; ///< The rules that were applied last drain the availability zone.
     bool needsFullRules = false; ///< The latest patch of the rules did not apply.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -16,6 +16,7 @@
         return;
     }
     this->lastUpstreamPacket = now;
+    this->isUpstreamKnownEnded = false;
     this->unansweredSince = TimePoint {};
     if (segment->isReturned) {
         this->handleReturnedPacket(now, *segment, packet, actions);
--- a/tests/packet_leave_test.cpp
+++ b/tests/packet_leave_test.cpp
@@ -344,3 +344,18 @@
     scene.announce(leaveRecord(agentRecord(3)));
     CHECK(scene.balancer.gossip().watchedAgents().empty());
 }
+
+/** An upstream that drained when its instance lost power ended without a word; its agent stayed a member and was asked in vain for 5 s. */
+TEST(PacketLeave, AnAgentWhoseUpstreamHasNoListenerLeaves)
+{
+    PacketScene ended;
+    ended.agent.onUpstreamEnded();
+    ended.agent.beginStop(ended.now, ended.actions);
+    CHECK_TRUE(ended.agent.hasLeft());
+
+    PacketScene started; // Another upstream has started since.
+    started.agent.onUpstreamEnded();
+    started.fromUpstream(makePacket(packetService, caller(1), AcknowledgingFlag, 1001, 1, 10));
+    started.agent.beginStop(started.now, started.actions);
+    CHECK_FALSE(started.agent.hasLeft());
+}
--- a/tools/lib/platform_standins.py
+++ b/tools/lib/platform_standins.py
@@ -171,10 +171,12 @@
     def start(self):
         self.flows, self.lifetime, self.heartbeats_sent, self.state = {}, self.lifetime + 1, 0, "ready"
         self.born = int(time.time() * 1000)
+        self.listener = socket.create_server(self.app_address)  # Status checks connect here.
         self.is_up = True
 
     def crash(self):
         self.is_up = False
+        self.listener.close()
 
     def heartbeat(self):
         """Sends one heartbeat to the agent and returns whether it was acknowledged."""
--- a/tools/lib/soak/endpoints.py
+++ b/tools/lib/soak/endpoints.py
@@ -4,6 +4,7 @@
 import collections
 import json
 import random
+import socket
 import time
 import urllib.request
 
@@ -52,10 +53,12 @@
         self.drain_acknowledged = None  # Time of the first acknowledged heartbeat that announced the drain.
         self.started = self.checker.clock()
         self.born = int((time.time() + clock_offset) * 1000)
+        self.listener = socket.create_server(self.instance.app_address)  # Status checks connect here.
         self.is_up = True
 
     def crash(self):
         self.is_up = False
+        self.listener.close()
 
     def cold_seconds_left(self):
         # In their first lifetime all upstreams are warm: they start well before the callers.
