Flow directory: an unknown flow is found, or proved gone, by asking two agents

Callers: a client goes on using a long flow whose upstream ended with the power of its instance, and nobody tells it. To reset such a flow an agent asked all agents of the service, twice, and each question of each flow was a message to 57 agents (163 on the large site). Change: two agents of the service, by rendezvous hashing and in two availability zones, keep each flow's owner. Owners register flows when their upstream answers the opening, and all of them again with an agent that starts. Switched on by the agents' setting /flow_directory; off, all is as before. Tests: at most 6 messages to find a flow or to prove it gone at 60 and 300 agents; at 5% loss 198 of 200 resets within 150 ms; an agent that does not answer; an owner that started again; directory agents that start again; 60 random histories of restarts, losses and packets without a reset of a living flow.

--- a/src/agent/peer_base.h
+++ b/src/agent/peer_base.h
@@ -48,6 +48,8 @@
     void leave(TimePoint now, const Revision& revision, Actions& actions);
 
     const MemberRecord& self() const { return this->own; }
+    /** Agents of the service, with this one and those that are gone. */
+    const MemberTable& table() const { return this->peers; }
     /** Record of an agent of the service; null if it is unknown. */
     const MemberRecord* find(Address peer) const;
     /** Last reported load of another agent; none if it has not reported any. */
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -48,6 +48,8 @@
     ReportsDropped, ///< Heartbeats and deregistrations of the upstream dropped: out of order or from an earlier lifetime.
     AgentsAvoided, ///< Agents that left an offered opening packet unanswered and are tried last for a while.
     OpeningsDeferred, ///< Opening packets dropped without a reset since all queues were full; a retransmission may succeed.
+    DirectoryLookups, ///< Unknown flows that an agent looked up in the flow directory.
+    DirectoryUnknown, ///< Such lookups without a result: the flow is searched for in another way.
     Count, ///< Number of counters.
 };
 
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -39,6 +39,7 @@
                         .incarnation = Process::makeIncarnation(settings.clockOffset),
                         .slots = settings.slots,
                         .reportPeriod = settings.reportPeriod,
+                        .hasFlowDirectory = settings.hasFlowDirectory,
                         .startedAt = Process::now(),
                     },
                   this->codec, this->random, this->events)
--- /dev/null
+++ b/src/packet/flow_registrar.h
@@ -0,0 +1,68 @@
+/** @file flow_registrar.h Registers the flows of one owner with the agents of the service's flow directory. */
+#pragma once
+
+#include "core/action_type.h"
+#include "packet/directory_members.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace lavender {
+
+/** Who registers flows, as it stands in each message. */
+struct RegistrarIdentity {
+    uint64_t service = 0; ///< hashText of the service's name.
+    Address owner;
+    uint64_t incarnation = 0; ///< Of the owner.
+    bool knowsAllFlows = false; ///< The owner's upstream can hold no flow that the owner does not know.
+    bool operator==(const RegistrarIdentity&) const = default;
+};
+
+/**
+ * Keeps the directory's agents informed of the flows of one owner. Each agent gets a flow once, and all that concern it after
+ * it or the owner has started; messages without a reply are repeated.
+ */
+class FlowRegistrar {
+public:
+    /** Takes a change of the members, after which flows may belong to other agents. */
+    void onMembersChanged(TimePoint now, const DirectoryMembers& members, Address self);
+
+    /** Registers a flow that the owner's upstream holds. */
+    void add(TimePoint now, const RegistrarIdentity& identity, const DirectoryMembers& members, const FlowKey& flow, Actions& actions);
+    /** Forgets a flow. Its entries expire. */
+    void remove(const FlowKey& flow) { this->flows.erase(flow); }
+
+    /** Handles the reply of a directory agent, or its request for a registration. */
+    void onReply(TimePoint now, const FlowRegistrationReply& reply);
+
+    /** Sends what is due. */
+    void tick(TimePoint now, const RegistrarIdentity& identity, Actions& actions);
+
+    /** Registrations that wait for a reply. */
+    size_t pendingCount() const;
+
+private:
+    /** Registrations with one agent. */
+    struct Channel {
+        uint64_t incarnation = 0; ///< Of the agent.
+        std::vector<FlowKey> pending; ///< Flows that the agent has not confirmed, in the order of their registration.
+        size_t flowsInMessage = 0; ///< The latest message holds so many flows of the front of @c pending.
+        uint32_t number = 0; ///< Of the latest message.
+        bool isStatementDue = true; ///< The agent has not confirmed that it knows all flows that concern it.
+        bool wasComplete = false; ///< The latest message said so.
+        int unanswered = 0; ///< Messages in a row without a reply.
+        TimePoint sentAt {};
+    };
+
+    void restart(Channel& channel, Address agent);
+    void send(TimePoint now, const RegistrarIdentity& identity, Address agent, Channel& channel, Actions& actions);
+    void refresh(TimePoint now);
+
+    std::map<Address, Channel> channels; ///< By directory agent.
+    std::unordered_map<FlowKey, std::vector<Address>> flows; ///< The owner's flows and the agents that each is registered with.
+    RegistrarIdentity stated; ///< Identity of the latest statements.
+    TimePoint nextRefresh {};
+};
+
+} // namespace lavender
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -63,6 +63,7 @@
     , events(events)
     , serviceHash(hashText(settings.service))
     , peers(initialRecord(settings), random)
+    , directory(settings.address)
     , lastTick(settings.startedAt)
 {
     this->coldStartLimiter.blockOneWindow(settings.startedAt);
@@ -76,6 +77,14 @@
         this->handle(now, *query, actions);
     } else if (const auto* queryReply = std::get_if<FlowQueryReply>(&message)) {
         this->handle(now, *queryReply, actions);
+    } else if (const auto* registration = std::get_if<FlowRegistration>(&message)) {
+        this->handle(now, *registration, actions);
+    } else if (const auto* registrationReply = std::get_if<FlowRegistrationReply>(&message)) {
+        this->registrar.onReply(now, *registrationReply);
+    } else if (const auto* directoryQuery = std::get_if<DirectoryQuery>(&message)) {
+        this->handle(now, *directoryQuery, actions);
+    } else if (const auto* directoryReply = std::get_if<DirectoryReply>(&message)) {
+        this->handle(now, *directoryReply, actions);
     } else if (const auto* reply = std::get_if<AnnounceReply>(&message)) {
         this->peers.onReply(now, *reply, actions);
         this->fetchNewerRules(now, reply->balancer, reply->revision, actions);
@@ -297,6 +306,7 @@
 {
     this->updateOwnRecord(now);
     this->updateTable();
+    this->tickDirectory(now, actions);
     this->tickLookups(now, actions);
     this->tickSearches(now, actions);
     this->peers.tick(now, this->follower.revision(), actions);
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -8,6 +8,9 @@
 #include "core/event_base.h"
 #include "core/metrics_func.h"
 #include "packet/cold_start_limiter.h"
+#include "packet/directory_lookup.h"
+#include "packet/flow_directory.h"
+#include "packet/flow_registrar.h"
 #include "packet/packet_flow.h"
 #include "packet/processing_time.h"
 #include "packet/refusal_backoff.h"
@@ -31,6 +34,7 @@
     uint16_t slots = 1; ///< Requests that the upstream runs at once, until its first report states the number.
     Duration reportPeriod = 1s; ///< Expected interval between two reports of the upstream.
     Duration flowIdleTimeout = 60s; ///< A flow without a packet for longer than this may be forgotten.
+    bool hasFlowDirectory = false; ///< The agents of the service keep a directory of their flows.
     TimePoint startedAt {}; ///< When the process started.
 };
 
@@ -80,6 +84,13 @@
     bool isSynchronized() const { return this->peers.synchronizedSince().has_value(); }
 
 private:
+    /** What a search goes by. */
+    enum class SearchSource : uint8_t {
+        AllAgents, ///< All agents of the service are asked.
+        DirectoryEntry, ///< The owners that the directory lists.
+        DirectoryProof, ///< The directory lists no owner; agents that may hold unknown flows are asked.
+    };
+
     /** Search for the owner of a flow among the agents of the service. */
     struct Search {
         ForwardedPacket packet; ///< Latest packet of the flow; sent to the owner when it is found.
@@ -90,12 +101,16 @@
         std::optional<TimePoint> firstRoundEndedAt; ///< When all agents known at the start had denied the flow; none before.
         bool isLookup = false; ///< Begun because the owner did not report: it does not probe, and never declares the flow lost.
         bool isSecondRound = false; ///< All agents are asked again, including those that have become known since.
+        SearchSource source = SearchSource::AllAgents;
+        bool isPacketSent = false; ///< The packet was sent to the agents that may own the flow.
+        bool isRepeated = false; ///< The packet was sent to them a second time.
     };
 
     /** A packet of an unknown flow is on its way along the candidates; the owner is to report to this agent. */
     struct Lookup {
         ForwardedPacket packet; ///< Latest packet of the flow, as this agent received it; sent to the owner when a search finds it.
         TimePoint dueAt {}; ///< When the search begins if the owner has not reported.
+        bool isDirectoryAsked = false; ///< The directory could not tell the owner.
     };
 
     /** An opening packet that arrived before the first rules. */
@@ -155,6 +170,7 @@
     void handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void forwardUnknownFlow(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
     void forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
+    void forwardWithoutDirectory(TimePoint now, ForwardedPacket& forwarded, Actions& actions);
     void reportOwner(const PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const;
     bool forwardToNextCandidate(ForwardedPacket& forwarded, Actions& actions);
     void forward(ForwardedPacket& forwarded, Address to, Actions& actions);
@@ -166,10 +182,24 @@
 
     // packet_lookup.cpp
     void forgetElsewhere(const FlowKey& flow);
-    void beginLookup(TimePoint now, const ForwardedPacket& forwarded);
+    void beginLookup(TimePoint now, const ForwardedPacket& forwarded, bool isDirectoryAsked);
     void handleLookupNotice(TimePoint now, const FlowQueryReply& reply);
     void tickLookups(TimePoint now, Actions& actions);
 
+    // packet_directory.cpp
+    RegistrarIdentity registrarIdentity(TimePoint now) const;
+    void registerFlow(TimePoint now, const FlowKey& flow, Actions& actions);
+    void tickDirectory(TimePoint now, Actions& actions);
+    void requestRegistrations(TimePoint now, Actions& actions);
+    void handle(TimePoint now, const FlowRegistration& registration, Actions& actions);
+    void handle(TimePoint now, const DirectoryQuery& query, Actions& actions);
+    void handle(TimePoint now, const DirectoryReply& reply, Actions& actions);
+    void askOwnDirectory(TimePoint now, const FlowKey& flow, Address searcher, Actions& actions);
+    void sendDirectoryAnswer(TimePoint now, const DirectoryAnswer& answer, Actions& actions);
+    bool lookUpInDirectory(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
+    void handleDirectoryResult(TimePoint now, DirectoryResult& result, Actions& actions);
+    bool isDeniedAgain(TimePoint now, const FlowKey& flow);
+
     // packet_search.cpp
     bool maySearch() const;
     void beginSearch(TimePoint now, const ForwardedPacket& forwarded, bool isLookup, Actions& actions);
@@ -177,10 +207,14 @@
     void queryPeers(const FlowKey& flow, const Search& search, Actions& actions);
     void handle(TimePoint now, const FlowQuery& query, Actions& actions);
     void handle(TimePoint now, const FlowQueryReply& reply, Actions& actions);
+    void sendProbeRequest(const Search& search, Address agent, Actions& actions) const;
+    void repeatProbeRequests(TimePoint now, Search& search, Actions& actions) const;
     void endRoundIfComplete(TimePoint now, const FlowKey& flow, Actions& actions);
     void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
     void declareFlowLost(TimePoint now, const FlowKey& flow, Actions& actions);
-    bool mayResetLostFlow(TimePoint now) const;
+    bool isViewComplete(TimePoint now) const;
+    bool mayReset(TimePoint now, const FlowKey& flow, SearchSource source);
+    static std::string_view toText(SearchSource source);
     void tickSearches(TimePoint now, Actions& actions);
 
     // packet_return.cpp
@@ -203,6 +237,13 @@
     std::unordered_map<FlowKey, CachedOwner> ownerCache; ///< Owners of flows that are not at the own upstream.
     std::unordered_map<FlowKey, Lookup> lookups; ///< Flows for which this agent is the first on a packet's way and awaits the owner's notice.
     std::unordered_map<FlowKey, Search> searches;
+    DirectoryMembers directoryMembers; ///< Agents of the service, as the flow directory ranks them.
+    uint64_t directoryChangeCount = 0; ///< Change count of the peers that directoryMembers was computed from.
+    FlowRegistrar registrar; ///< Registers the flows at the own upstream.
+    FlowDirectory directory; ///< This agent's part of the directory.
+    DirectoryLookups directoryLookups;
+    std::unordered_map<FlowKey, TimePoint> ownerDenials; ///< When the owners that the directory lists first denied the flow.
+    TimePoint nextRegistrationRequest {};
     std::vector<HeldOpening> heldOpenings;
     size_t flowsAwaitingAnswer = 0; ///< Number of flows with isAwaitingAnswer: they take the upstream's slots and queue places.
     size_t unclaimedFlows = 0; ///< Number of flows with isUnclaimed.
--- /dev/null
+++ b/src/packet/packet_directory.cpp
@@ -0,0 +1,191 @@
+/** @file packet_directory.cpp A packet agent's part in the flow directory of its service: as an owner, as a directory agent and as a searcher. */
+#include "packet/packet_agent_base.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavender {
+
+namespace {
+
+    constexpr Duration pauseThreshold = 300ms; ///< A longer time between two ticks: the process was suspended, so messages may wait in its socket.
+    constexpr Duration registrationRequestPeriod = 300ms; ///< Time between two requests to agents that have not registered their flows.
+    constexpr Duration denialWindow = 3s; ///< Callers repeat a packet without an answer after 200 to 1,600 ms.
+    constexpr Duration registrationTime = 100ms; ///< Within this time after its opening, a second owner may not be listed yet.
+
+} // namespace
+
+RegistrarIdentity PacketAgent::registrarIdentity(TimePoint now) const
+{
+    return { this->serviceHash, this->settings.address, this->peers.self().incarnation, !this->mayUpstreamHoldUnknownFlows(now) };
+}
+
+/** Registers a flow that the upstream holds. */
+void PacketAgent::registerFlow(TimePoint now, const FlowKey& flow, Actions& actions)
+{
+    if (this->settings.hasFlowDirectory) {
+        this->registrar.add(now, this->registrarIdentity(now), this->directoryMembers, flow, actions);
+    }
+}
+
+void PacketAgent::tickDirectory(TimePoint now, Actions& actions)
+{
+    if (!this->settings.hasFlowDirectory) {
+        return;
+    }
+    if (now - this->lastTick > pauseThreshold) {
+        this->directory.onPause();
+        this->directoryLookups.clear();
+    }
+    if (this->directoryChangeCount != this->peers.changeCount()) {
+        this->directoryChangeCount = this->peers.changeCount();
+        this->directoryMembers.update(now, this->peers.table());
+        this->registrar.onMembersChanged(now, this->directoryMembers, this->settings.address);
+    }
+    const RegistrarIdentity identity = this->registrarIdentity(now);
+    this->directory.setKnowsAllFlows(identity.knowsAllFlows);
+    this->registrar.tick(now, identity, actions);
+    for (const DirectoryAnswer& answer : this->directory.tick(now, this->directoryMembers, this->isViewComplete(now))) {
+        this->sendDirectoryAnswer(now, answer, actions);
+    }
+    for (DirectoryResult& result : this->directoryLookups.tick(now, this->serviceHash, this->settings.address, actions)) {
+        this->handleDirectoryResult(now, result, actions);
+    }
+    this->requestRegistrations(now, actions);
+    std::erase_if(this->ownerDenials, [now](const auto& entry) { return now - entry.second >= denialWindow; });
+}
+
+/** Asks agents that have not registered their flows here, as they may not know yet that this process has started again. */
+void PacketAgent::requestRegistrations(TimePoint now, Actions& actions)
+{
+    if (now < this->nextRegistrationRequest) {
+        return;
+    }
+    this->nextRegistrationRequest = now + registrationRequestPeriod;
+    for (Address owner : this->directory.unregisteredOwners()) {
+        actions.push_back(SendMessage { owner, FlowRegistrationReply { .responder = this->settings.address, .incarnation = this->peers.self().incarnation } });
+    }
+}
+
+void PacketAgent::handle(TimePoint now, const FlowRegistration& registration, Actions& actions)
+{
+    if (registration.service != this->serviceHash || !this->settings.hasFlowDirectory) {
+        this->count.add(Counter::PacketsWrongService);
+        return;
+    }
+    if (this->directory.onRegistration(now, registration)) {
+        actions.push_back(SendMessage { registration.owner, FlowRegistrationReply { this->settings.address, this->peers.self().incarnation, registration.number } });
+    }
+}
+
+void PacketAgent::handle(TimePoint now, const DirectoryQuery& query, Actions& actions)
+{
+    if (query.service != this->serviceHash || !this->settings.hasFlowDirectory) {
+        this->count.add(Counter::PacketsWrongService);
+        return;
+    }
+    this->askOwnDirectory(now, query.flow, query.searcher, actions);
+}
+
+/** Answers a lookup from the own flows and the own part of the directory, now or later. */
+void PacketAgent::askOwnDirectory(TimePoint now, const FlowKey& flow, Address searcher, Actions& actions)
+{
+    const auto own = this->flows.find(flow);
+    const bool isHere = own != this->flows.end() && own->second.stage != FlowStage::OpeningSent && own->second.stage != FlowStage::Probing;
+    if (isHere && searcher != this->settings.address) {
+        this->sendDirectoryAnswer(now, { flow, searcher, DirectoryFinding::Listed, { this->settings.address } }, actions);
+    } else if (const std::optional<DirectoryAnswer> answer = this->directory.ask(now, this->directoryMembers, flow, searcher)) {
+        this->sendDirectoryAnswer(now, *answer, actions);
+    }
+}
+
+void PacketAgent::sendDirectoryAnswer(TimePoint now, const DirectoryAnswer& answer, Actions& actions)
+{
+    const DirectoryReply reply { answer.flow, this->settings.address, answer.finding, answer.agents };
+    if (answer.searcher == this->settings.address) {
+        this->handle(now, reply, actions);
+    } else {
+        actions.push_back(SendMessage { answer.searcher, reply });
+    }
+}
+
+void PacketAgent::handle(TimePoint now, const DirectoryReply& reply, Actions& actions)
+{
+    if (std::optional<DirectoryResult> result = this->directoryLookups.onReply(now, reply)) {
+        this->handleDirectoryResult(now, *result, actions);
+    }
+}
+
+/** Looks the owner of a packet's flow up in the directory. @return False if that is not possible now. */
+bool PacketAgent::lookUpInDirectory(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
+{
+    const FlowKey& flow = forwarded.packet.flow;
+    if (!this->settings.hasFlowDirectory || !this->peers.synchronizedSince()) {
+        return false;
+    }
+    if (const auto running = this->searches.find(flow); running != this->searches.end()) {
+        running->second.packet = forwarded;
+        running->second.isPacketSent = false;
+        return true;
+    }
+    const bool isRunning = this->directoryLookups.contains(flow);
+    const DirectoryAgents agents = this->directoryMembers.agentsOf(flow);
+    if (!this->directoryLookups.begin(now, this->serviceHash, agents, this->settings.address, forwarded, actions)) {
+        return false;
+    }
+    if (!isRunning) {
+        this->count.add(Counter::DirectoryLookups);
+        if (std::find(agents.begin(), agents.end(), this->settings.address) != agents.end()) {
+            this->askOwnDirectory(now, FlowKey(flow), this->settings.address, actions);
+        }
+    }
+    return true;
+}
+
+void PacketAgent::handleDirectoryResult(TimePoint now, DirectoryResult& result, Actions& actions)
+{
+    const FlowKey flow = result.packet.packet.flow;
+    if (this->flows.contains(flow) && result.finding != DirectoryFinding::Listed) {
+        return; // It turned out to be here.
+    }
+    if (result.finding == DirectoryFinding::Unknown) {
+        this->count.add(Counter::DirectoryUnknown);
+        this->forwardWithoutDirectory(now, result.packet, actions);
+        return;
+    }
+    std::set<Address> agents(result.agents.begin(), result.agents.end());
+    std::erase_if(agents, [this](Address agent) {
+        const DirectoryMember* member = this->directoryMembers.find(agent);
+        return agent == this->settings.address || (member != nullptr && member->hasLeft);
+    });
+    const bool isListed = result.finding == DirectoryFinding::Listed;
+    if (agents.empty() && isListed) {
+        this->forwardWithoutDirectory(now, result.packet, actions);
+        return;
+    }
+    Search& search = this->searches[flow];
+    search = { .packet = std::move(result.packet), .pendingPeers = std::move(agents), .startedAt = now - result.duration, .lastQueryAt = now };
+    search.source = isListed ? SearchSource::DirectoryEntry : SearchSource::DirectoryProof;
+    search.isSecondRound = true; // The directory knows all members, so one round is enough.
+    search.probedPeers = search.pendingPeers;
+    search.isPacketSent = true;
+    if (search.pendingPeers.empty()) {
+        this->declareFlowLost(now, flow, actions);
+        return;
+    }
+    for (Address agent : search.pendingPeers) {
+        this->sendProbeRequest(search, agent, actions);
+    }
+}
+
+/**
+ * True if a flow may be reset since the owners that the directory lists have denied it. A second owner may not be listed yet when
+ * they are first asked, so it takes two denials.
+ */
+bool PacketAgent::isDeniedAgain(TimePoint now, const FlowKey& flow)
+{
+    const auto [denial, isFirst] = this->ownerDenials.try_emplace(flow, now);
+    return !isFirst && now - denial->second >= registrationTime;
+}
+
+} // namespace lavender
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -46,6 +46,7 @@
     if (found != this->flows.end()) {
         this->setAwaitingAnswer(found->second.awaitingSince, found->second, false);
         this->setUnclaimed(found->second, false);
+        this->registrar.remove(key);
         this->flows.erase(found);
     }
 }
--- a/src/packet/packet_lookup.cpp
+++ b/src/packet/packet_lookup.cpp
@@ -14,14 +14,15 @@
 } // namespace
 
 /** Keeps the packet until the owner reports. A running lookup keeps its time, so that further packets do not delay the search. */
-void PacketAgent::beginLookup(TimePoint now, const ForwardedPacket& forwarded)
+void PacketAgent::beginLookup(TimePoint now, const ForwardedPacket& forwarded, bool isDirectoryAsked)
 {
     const FlowKey& key = forwarded.packet.flow;
     const auto found = this->lookups.find(key);
     if (found != this->lookups.end()) {
         found->second.packet = forwarded;
+        found->second.isDirectoryAsked = found->second.isDirectoryAsked || isDirectoryAsked;
     } else if (this->lookups.size() < maximumLookups && !this->searches.contains(key)) {
-        this->lookups[key] = { forwarded, now + reportTimeout };
+        this->lookups[key] = { forwarded, now + reportTimeout, isDirectoryAsked };
     }
 }
 
@@ -31,6 +32,7 @@
     this->ownerCache.erase(flow);
     this->lookups.erase(flow);
     this->searches.erase(flow);
+    this->directoryLookups.erase(flow);
 }
 
 /**
@@ -49,7 +51,7 @@
     }
 }
 
-/** Begins a search for each flow whose owner has not reported in time, as far as the limits of searches allow. */
+/** Looks each flow up whose owner has not reported in time: in the directory, else by a search as far as the limits of searches allow. */
 void PacketAgent::tickLookups(TimePoint now, Actions& actions)
 {
     const bool wasPaused = now - this->lastTick > pauseThreshold;
@@ -62,6 +64,11 @@
         }
     }
     for (const FlowKey& flow : overdue) {
+        const Lookup& lookup = this->lookups[flow];
+        if (!lookup.isDirectoryAsked && this->lookUpInDirectory(now, lookup.packet, actions)) {
+            this->lookups.erase(flow);
+            continue;
+        }
         if (!this->maySearch()) {
             break;
         }
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -40,6 +40,7 @@
         flow.createdAt = now;
         flow.stage = FlowStage::Open;
         this->forgetElsewhere(key);
+        this->registerFlow(now, key, actions);
     }
     if (segment.isOpening) {
         if (flow.stage == FlowStage::OpeningAnswered) {
@@ -48,11 +49,13 @@
             flow.stage = FlowStage::OpeningAnswered;
             flow.upstreamInitialSequence = segment.sequence;
             this->refusalBackoff.reset();
+            this->registerFlow(now, key, actions);
             this->handshakeLatencies.add(now - flow.createdAt);
             this->reportOutcome(now, key, OpeningResult::Accepted, flow.balancer, actions);
         }
     } else if (flow.stage == FlowStage::Probing) {
         flow.stage = FlowStage::Open;
+        this->registerFlow(now, key, actions);
         if (flow.searcher.isValid()) {
             this->sendFlowQueryReply(key, std::exchange(flow.searcher, {}), true, actions);
         } else if (flow.home.isValid() && flow.home != this->settings.address) {
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -69,7 +69,7 @@
                 if (now - cached->second.confirmedAt < confirmationTime) {
                     forwarded.home = {};
                 } else {
-                    this->beginLookup(now, forwarded);
+                    this->beginLookup(now, forwarded, false);
                 }
             }
             this->forward(forwarded, cached->second.owner, actions);
@@ -307,14 +307,22 @@
     this->forwardAlongCandidates(now, forwarded, actions);
 }
 
+/** Routes a packet of a flow that is not at the own upstream. The first agent on its way asks the flow directory, if there is one. */
+void PacketAgent::forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions)
+{
+    if (forwarded.home != this->settings.address || !this->lookUpInDirectory(now, forwarded, actions)) {
+        this->forwardWithoutDirectory(now, forwarded, actions);
+    }
+}
+
 /**
  * Forwards a packet of an unknown flow to the next candidate; if none is left, a search begins. The first agent on the packet's
  * way awaits the owner's notice, since an agent on the way may have ended, or a datagram may be lost.
  */
-void PacketAgent::forwardAlongCandidates(TimePoint now, ForwardedPacket& forwarded, Actions& actions)
+void PacketAgent::forwardWithoutDirectory(TimePoint now, ForwardedPacket& forwarded, Actions& actions)
 {
     if (forwarded.home == this->settings.address) {
-        this->beginLookup(now, forwarded);
+        this->beginLookup(now, forwarded, true);
     }
     if (!this->forwardToNextCandidate(forwarded, actions)) {
         this->lookups.erase(forwarded.packet.flow);
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -11,6 +11,7 @@
     constexpr size_t maximumSearches = 1024;
     constexpr Duration queryPeriod = 300ms; ///< Time between two queries of a search, and least time between its two rounds.
     constexpr Duration searchTimeout = 1500ms; ///< A search without a result ends then, without a reset to the caller.
+    constexpr Duration probeRepeatTime = 60ms; ///< 20 trips between zones.
     constexpr double searchesPerSecond = 200; ///< Refill rate of the token bucket.
     constexpr double searchBurst = 400; ///< Capacity of the token bucket.
     /** An agent knows all others this long after a balancer first confirmed its view: each announces itself every 100 ms until known. */
@@ -35,6 +36,7 @@
     const FlowKey& key = forwarded.packet.flow;
     if (const auto running = this->searches.find(key); running != this->searches.end()) {
         running->second.packet = forwarded;
+        running->second.isPacketSent = false;
         if (isLookup || !running->second.isLookup || !this->maySearch()) {
             return;
         }
@@ -122,9 +124,7 @@
     }
     if (reply.mayHoldFlow) {
         if (search.probedPeers.insert(reply.responder).second) {
-            ForwardedPacket probeRequest = search.packet;
-            probeRequest.searcher = this->settings.address;
-            actions.push_back(SendMessage { reply.responder, std::move(probeRequest) });
+            this->sendProbeRequest(search, reply.responder, actions);
         }
         return;
     }
@@ -140,9 +140,33 @@
             { "search_ms", std::to_string(toMilliseconds(now - search.startedAt)) },
         });
     ForwardedPacket forwarded = std::move(search.packet);
+    const bool hasPacket = search.isPacketSent && search.source == SearchSource::DirectoryEntry;
     this->searches.erase(found);
     this->cacheOwner(now, reply.flow, reply.owner);
-    this->forward(forwarded, reply.owner, actions);
+    if (!hasPacket) {
+        this->forward(forwarded, reply.owner, actions);
+    }
+}
+
+/** Sends an agent the packet of the flow that is searched for; the agent delivers it, or its upstream shows whether it holds the flow. */
+void PacketAgent::sendProbeRequest(const Search& search, Address agent, Actions& actions) const
+{
+    ForwardedPacket request = search.packet;
+    request.searcher = this->settings.address;
+    actions.push_back(SendMessage { agent, std::move(request) });
+}
+
+/** Sends the packet once more to the agents named by the directory that have not answered: it, or the answer, may be lost. */
+void PacketAgent::repeatProbeRequests(TimePoint now, Search& search, Actions& actions) const
+{
+    if (search.source == SearchSource::AllAgents || search.isRepeated || now - search.lastQueryAt < probeRepeatTime) {
+        return;
+    }
+    search.isRepeated = true;
+    search.isPacketSent = true;
+    for (Address agent : search.pendingPeers) {
+        this->sendProbeRequest(search, agent, actions);
+    }
 }
 
 /**
@@ -176,25 +200,57 @@
     this->queryPeers(flow, search, actions);
 }
 
-/** True if a denied flow may be reset: this agent knows all others of the service, and none of them is out of reach. */
-bool PacketAgent::mayResetLostFlow(TimePoint now) const
+/** True if this agent knows all others of the service. */
+bool PacketAgent::isViewComplete(TimePoint now) const
 {
     const std::optional<TimePoint> since = this->peers.synchronizedSince();
-    return since && now - *since >= minimumSynchronizedTime && !this->peers.hasRecentlyLostAgents(now, lostMemberWindow);
+    return since && now - *since >= minimumSynchronizedTime;
+}
+
+/** True if a flow that was denied may be reset. */
+bool PacketAgent::mayReset(TimePoint now, const FlowKey& flow, SearchSource source)
+{
+    switch (source) {
+    case SearchSource::AllAgents:
+        return this->isViewComplete(now) && !this->peers.hasRecentlyLostAgents(now, lostMemberWindow);
+    case SearchSource::DirectoryEntry:
+        return this->isDeniedAgain(now, flow);
+    case SearchSource::DirectoryProof:
+        return true;
+    }
+    return false;
+}
+
+/** Name of a search's source in events. */
+std::string_view PacketAgent::toText(SearchSource source)
+{
+    switch (source) {
+    case SearchSource::AllAgents:
+        return "all_agents";
+    case SearchSource::DirectoryEntry:
+        return "listed_owners";
+    case SearchSource::DirectoryProof:
+        return "directory";
+    }
+    return "unknown";
 }
 
 /** Ends a search in which every agent has denied the flow twice; resets the flow if this agent may. */
 void PacketAgent::declareFlowLost(TimePoint now, const FlowKey& flow, Actions& actions)
 {
     const ForwardedPacket packet = std::move(this->searches[flow].packet);
+    const SearchSource source = this->searches[flow].source;
+    const Duration duration = now - this->searches[flow].startedAt;
     this->searches.erase(flow);
-    const bool mayReset = this->mayResetLostFlow(now);
+    const bool mayReset = this->mayReset(now, flow, source);
     const std::optional<Segment> segment = this->codec.parse(packet.packet.payload);
     this->count.add(Counter::FlowsLost);
     this->events.log(EventLevel::Info, "flow-lost",
         {
             { "flow", formatFlow(flow) },
             { "peers", std::to_string(this->peers.otherAgents().size()) },
+            { "proof", std::string(toText(source)) },
+            { "search_ms", std::to_string(toMilliseconds(duration)) },
             { "reset", mayReset ? "true" : "false" },
         });
     if (mayReset && segment && !segment->isReset) {
@@ -208,6 +264,7 @@
     this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
     std::vector<FlowKey> deniedByAll;
     for (auto& [flow, search] : this->searches) {
+        this->repeatProbeRequests(now, search, actions);
         const bool isRoundDue = search.firstRoundEndedAt && !search.isSecondRound && now - *search.firstRoundEndedAt >= queryPeriod;
         if (isRoundDue && this->peers.lastSynchronizedAt() > *search.firstRoundEndedAt) {
             this->beginSecondRound(now, flow, search, actions);
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -279,6 +279,7 @@
         .upstreamReports = values->address("/upstream/reports"),
         .reportPeriod = values->milliseconds("/upstream/report_ms"),
         .fabricListen = values->address("/fabric/listen"),
+        .hasFlowDirectory = values->text("/flow_directory") == "on",
         .slots = static_cast<uint16_t>(values->number("/upstream/slots")),
         .healthPeriod = values->milliseconds("/upstream/health_ms"),
         .returnAddress = values->address("/return"),
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -42,6 +42,8 @@
     { "reports_dropped", "Reports of upstreams that were late or of an earlier lifetime" },
     { "agents_avoided", "Agents passed over for a while: opening packets went unanswered" },
     { "openings_deferred", "Opening packets left to the caller's next copy: all queues were full" },
+    { "directory_lookups", "Unknown flows looked up in the flow directory" },
+    { "directory_unknown", "Lookups that the flow directory could not answer" },
 } };
 
 } // namespace lavender
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -202,6 +202,13 @@
             .help = "Callers of opaque flows receive packets on the port of this address; required with /upstream/packets",
             .requiredWith = "/upstream/packets",
         },
+        SettingDescription {
+            .path = "/flow_directory",
+            .kind = SettingKind::Choice,
+            .defaultValue = "off",
+            .choices = "off|on",
+            .help = "on: the agents of the service keep a directory of opaque flows, which finds a flow's owner or proves that there is none in a few messages; the same for all agents of a service",
+        },
         SettingDescription {
             .path = "/upstream/slots",
             .kind = SettingKind::Number,
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -25,6 +25,7 @@
 constexpr size_t maximumRulesBytes = 1'000'000; ///< Longest text of the operators' rules; the store holds values up to 1 MB.
 constexpr size_t maximumSnapshotBytes = 16'000'000; ///< Longest encoded snapshot.
 constexpr size_t digestBuckets = 64; ///< Buckets that the member table is split into for anti-entropy.
+constexpr size_t maximumFlowsPerRegistration = 80; ///< Flows in one FlowRegistration.
 constexpr uint8_t maximumHops = 14; ///< Agents that one packet may pass through.
 
 /** Role of a packet in its flow. */
@@ -202,6 +203,51 @@
     bool operator==(const OpeningOutcome&) const = default;
 };
 
+/** Registers flows with an agent of the service's flow directory; repeated until the reply arrives. */
+struct FlowRegistration {
+    uint64_t service = 0; ///< hashText of the service's name.
+    Address owner; ///< Agent whose flows these are.
+    uint64_t incarnation = 0; ///< Of the owner.
+    uint32_t number = 0; ///< Number of the message; its reply has the same.
+    bool isComplete = false; ///< With this message the receiver knows all flows that the owner has to register with it.
+    bool knowsAllFlows = false; ///< The owner's upstream can hold no flow that the owner does not know.
+    std::vector<FlowKey> flows; ///< At most maximumFlowsPerRegistration.
+    bool operator==(const FlowRegistration&) const = default;
+};
+
+/** Answers a FlowRegistration, or asks for one. */
+struct FlowRegistrationReply {
+    Address responder; ///< Agent that answers.
+    uint64_t incarnation = 0; ///< Of the responder; a new one knows nothing of earlier registrations.
+    uint32_t number = 0; ///< FlowRegistration::number of the message that is answered; 0 if this asks for a registration.
+    bool operator==(const FlowRegistrationReply&) const = default;
+};
+
+/** Asks an agent of the flow directory who owns a flow. */
+struct DirectoryQuery {
+    uint64_t service = 0; ///< hashText of the service's name.
+    FlowKey flow;
+    Address searcher; ///< Agent that the reply is sent to.
+    bool operator==(const DirectoryQuery&) const = default;
+};
+
+/** What an agent of the flow directory knows of a flow. */
+enum class DirectoryFinding : uint8_t {
+    Pending, ///< Not known yet; another reply follows.
+    Listed, ///< One of the agents in the reply owns the flow.
+    Gone, ///< No agent has registered the flow; only the agents in the reply could hold it without knowing it.
+    Unknown, ///< The directory cannot tell.
+};
+
+/** Answers a DirectoryQuery. */
+struct DirectoryReply {
+    FlowKey flow;
+    Address responder; ///< Agent that answers.
+    DirectoryFinding finding = DirectoryFinding::Unknown;
+    std::vector<Address> agents; ///< At most maximumCandidates; see DirectoryFinding.
+    bool operator==(const DirectoryReply&) const = default;
+};
+
 /** Any message. The order is part of the wire format: add new kinds at the end only. */
 using Message = std::variant<
     FlowPacket,
@@ -219,6 +265,10 @@
     StatusReply,
     SnapshotRequest,
     Snapshot,
-    OpeningOutcome>;
+    OpeningOutcome,
+    FlowRegistration,
+    FlowRegistrationReply,
+    DirectoryQuery,
+    DirectoryReply>;
 
 } // namespace lavender
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -144,6 +144,27 @@
     archive(outcome.busy, outcome.slots, outcome.limit);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, FlowRegistration& registration)
+{
+    archive(registration.service, registration.owner, registration.incarnation, registration.number);
+    transferBool(archive, registration.isComplete);
+    transferBool(archive, registration.knowsAllFlows);
+    transferList(archive, registration.flows, maximumFlowsPerRegistration);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, FlowRegistrationReply& reply) { archive(reply.responder, reply.incarnation, reply.number); }
+template <typename Archive>
+void serialize(Archive& archive, DirectoryQuery& query) { archive(query.service, query.flow, query.searcher); }
+template <typename Archive>
+void serialize(Archive& archive, DirectoryReply& reply)
+{
+    archive(reply.flow, reply.responder);
+    transferEnum(archive, reply.finding, DirectoryFinding::Unknown);
+    transferList(archive, reply.agents, maximumCandidates);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, FlowQuery& query) { archive(query.service, query.flow, query.searcher); }
 template <typename Archive>
--- /dev/null
+++ b/tests/flow_directory_test.cpp
@@ -0,0 +1,137 @@
+/** @file flow_directory_test.cpp Unknown flows are found, or proved gone, in a number of messages that does not grow with the service. */
+#include "packet_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lavender;
+using namespace lavender::test;
+
+namespace {
+
+constexpr size_t mostMessages = 6; ///< To find a flow or to prove that it is gone.
+constexpr Duration longestProof = 150ms; ///< From a packet of a flow that is gone to the reset.
+/** The upstreams have started with their agents, which know all flows therefore. */
+const PacketNetworkOptions withDirectory {
+    .hasFlowDirectory = true,
+    .upstreamsStarted = 1'000'000,
+    .rules = "service orders connections 100 warmup 2000 # t\nroute 198.18.0.1:443 to orders # t\nannounce orders in * # t\n",
+    .firstColdLeft = 2s,
+};
+
+Bytes dataPacket(uint16_t port, uint32_t owner)
+{
+    return makePacket(caller(port), packetService, AcknowledgingFlag, 1, PacketNetwork::initialSequence(owner) + 1, 20);
+}
+
+/** Sends a packet of a flow through agent @p first. @return Messages between agents until it is delivered at @p owner, or reset. */
+size_t messagesFor(PacketNetwork& network, uint16_t port, uint32_t owner, uint32_t first)
+{
+    network.messages = 0;
+    const Counters& counters = network.nodes[first].agent->counters();
+    for (const uint64_t before = counters.get(Counter::PacketsReceived); counters.get(Counter::PacketsReceived) == before;) {
+        network.send(first, dataPacket(port, owner), { packetAgent(first) }); // The first one may be lost.
+    }
+    network.advance(longestProof);
+    return network.messages - 1; // Without the packet from the balancer.
+}
+
+} // namespace
+
+TEST_GROUP(FlowDirectory) {};
+
+/** After a loss of power callers go on using flows that nobody holds; packets of living flows arrive at any agent. */
+TEST(FlowDirectory, AnUnknownFlowIsFoundOrResetInFewMessagesWhateverTheSizeOfTheService)
+{
+    for (uint32_t size : { 60U, 300U }) {
+        PacketNetwork network(size, withDirectory);
+        network.advance(1s);
+        network.open(5, 1);
+        network.advance(100ms);
+        CHECK_TRUE(messagesFor(network, 1, 5, 17) <= mostMessages);
+        CHECK_EQUAL(1, network.nodes[5].deliveries);
+        CHECK_EQUAL(0, network.resets);
+        CHECK_TRUE(messagesFor(network, 2, 5, 17) <= mostMessages);
+        CHECK_EQUAL(1, network.resets);
+    }
+}
+
+/** A flow that is gone, while 5% of the messages are lost: 99 of 100 callers are told in time. */
+TEST(FlowDirectory, AFlowThatIsGoneIsResetInTimeWhileMessagesAreLost)
+{
+    constexpr uint16_t flowCount = 200;
+    PacketNetwork network(60, withDirectory);
+    network.advance(1s);
+    network.lossPercent = 5;
+    for (uint16_t port = 1; port <= flowCount; ++port) {
+        (void)messagesFor(network, port, 5, port % 60U);
+    }
+    CHECK_TRUE(network.resets >= flowCount * 99 / 100);
+}
+
+/** An agent that does not answer holds up neither the lookups that it should answer nor others. */
+TEST(FlowDirectory, AnAgentThatDoesNotAnswerHoldsUpNoCaller)
+{
+    PacketNetwork network(60, withDirectory);
+    network.advance(1s);
+    network.nodes[30].isRunning = false;
+    for (uint16_t port = 1; port <= 100; ++port) {
+        (void)messagesFor(network, port, 5, port % 30U);
+    }
+    CHECK_EQUAL(100, network.resets);
+}
+
+/** An agent that started again beside its upstream does not know the flows there. */
+TEST(FlowDirectory, AFlowOfAnAgentThatStartedAgainIsFound)
+{
+    PacketNetwork network(60, withDirectory);
+    network.open(5, 1);
+    network.advance(1s);
+    network.restart(5);
+    network.advance(1s);
+    CHECK_TRUE(messagesFor(network, 1, 5, 17) <= mostMessages);
+    CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    CHECK_EQUAL(0, network.resets);
+}
+
+/** A directory agent that started again knows nothing, and must not take that for proof. */
+TEST(FlowDirectory, NoFlowIsResetWhileDirectoryAgentsStartAgain)
+{
+    PacketNetwork network(12, withDirectory);
+    network.open(5, 1);
+    network.advance(1s);
+    for (uint32_t index = 0; index < 12; ++index) {
+        if (index != 5) {
+            network.restart(index);
+        }
+    }
+    network.nodes[5].deliveries = 0;
+    for (int copy = 0; copy < 4; ++copy) {
+        network.send(0, dataPacket(1, 5), { packetAgent(0) });
+        network.advance(400ms);
+    }
+    CHECK_TRUE(network.nodes[5].deliveries >= 1);
+    CHECK_EQUAL(0, network.resets);
+}
+
+/** Restarts, losses and packets at any agent in any order: no flow whose upstream lives is reset. */
+TEST(FlowDirectory, AFlowWhoseUpstreamLivesIsNeverReset)
+{
+    const auto holds = [](uint32_t seed) {
+        SeededRandom random(seed);
+        PacketNetwork network(8, withDirectory);
+        network.open(5, 1);
+        network.lossPercent = 5;
+        for (int step = 0; step < 20; ++step) {
+            if (random.below(3) == 0) {
+                network.restart(random.below(8));
+            }
+            const uint32_t first = random.below(8);
+            network.send(first, dataPacket(1, 5), { packetAgent(first) });
+            network.advance(50ms * (1 + random.below(20)));
+        }
+        return network.resets == 0;
+    };
+    for (uint32_t seed = 1; seed <= 60; ++seed) {
+        CHECK_TRUE_TEXT(holds(seed), std::to_string(seed).c_str());
+    }
+}
--- a/tests/packet_network.h
+++ b/tests/packet_network.h
@@ -13,6 +13,14 @@
 
 inline Address packetAgent(uint32_t index) { return { 0x0A010002 + index, 7000 }; }
 
+/** What the agents of a PacketNetwork are started with. */
+struct PacketNetworkOptions {
+    bool hasFlowDirectory = false;
+    uint64_t upstreamsStarted = 500'000; ///< Unix milliseconds; the agents start at 1,000,000.
+    std::string_view rules = packetRules;
+    Duration firstColdLeft {}; ///< Remaining cold time in the first report of each upstream.
+};
+
 inline MemberRecord packetAgentRecord(uint32_t index)
 {
     return {
@@ -38,25 +46,52 @@
 /** Agents that know each other, with a virtual clock. Messages arrive at once, but for those to agents that do not run. */
 class PacketNetwork {
 public:
-    explicit PacketNetwork(uint32_t count)
+    explicit PacketNetwork(uint32_t count, const PacketNetworkOptions& options = {})
+        : options(options)
     {
         for (uint32_t index = 0; index < count; ++index) {
-            PacketNode& node = this->nodes.emplace_back();
-            node.agent = std::make_unique<PacketAgent>(
-                PacketAgentSettings { .address = packetAgent(index), .zone = "a", .service = "orders", .incarnation = 1'000'000, .slots = 2, .startedAt = this->now },
-                this->codec, this->random, this->events);
-            Actions actions;
-            node.agent->onSnapshot(this->now, { .revision = revisionAt(5), .rules = makePatch({}, "", packetRules) }, actions);
-            std::vector<MemberRecord> others;
-            for (uint32_t other = 0; other < count; ++other) {
-                others.push_back(packetAgentRecord(other));
-            }
-            node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer, .peers = others }, actions);
-            node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer }, actions);
+            this->records.push_back(packetAgentRecord(index));
+        }
+        for (uint32_t index = 0; index < count; ++index) {
+            this->nodes.emplace_back();
+            this->start(index);
         }
         this->advance(1s);
     }
 
+    /** Starts an agent that knows nothing but the rules and the members. */
+    void start(uint32_t index)
+    {
+        PacketNode& node = this->nodes[index];
+        node.isRunning = true;
+        node.agent = std::make_unique<PacketAgent>(
+            PacketAgentSettings {
+                .address = packetAgent(index),
+                .zone = "a",
+                .service = "orders",
+                .incarnation = this->records[index].incarnation,
+                .slots = 2,
+                .hasFlowDirectory = this->options.hasFlowDirectory,
+                .startedAt = this->now,
+            },
+            this->codec, this->random, this->events);
+        Actions actions;
+        node.agent->onSnapshot(this->now, { .revision = revisionAt(5), .rules = makePatch({}, "", this->options.rules) }, actions);
+        node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer, .peers = this->records }, actions);
+        node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer }, actions);
+    }
+
+    /** Starts an agent anew beside its upstream, which goes on; all others hear of it. */
+    void restart(uint32_t index)
+    {
+        this->records[index].incarnation += 1000;
+        this->start(index);
+        for (PacketNode& node : this->nodes) {
+            Actions actions;
+            node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer, .peers = { this->records[index] } }, actions);
+        }
+    }
+
     /** Opens a flow of the caller with this port at the upstream of agent @p index. */
     void open(uint32_t index, uint16_t port)
     {
@@ -115,7 +150,7 @@
                     continue;
                 }
                 if (isReportDue) {
-                    (void)node.agent->onUpstreamReport(this->now, { .id = "u", .service = "orders", .started = 500'000, .sequence = this->sequence, .slots = 2 });
+                    (void)node.agent->onUpstreamReport(this->now, { .id = "u", .service = "orders", .started = this->options.upstreamsStarted, .sequence = this->sequence, .slots = 2, .coldLeft = this->sequence == 1 ? this->options.firstColdLeft : Duration() });
                 }
                 Actions actions;
                 node.agent->tick(this->now, actions);
@@ -127,6 +162,8 @@
 
     std::vector<PacketNode> nodes;
     bool loseNotices = false; ///< Reports on the owner of a flow are lost, but for replies to queries.
+    uint32_t lossPercent = 0; ///< Of the messages between agents.
+    size_t messages = 0; ///< Messages between agents, lost ones included.
     size_t resets = 0; ///< Packets sent to callers other than the answers to openings.
 
 private:
@@ -139,6 +176,10 @@
             if (std::holds_alternative<FlowQuery>(next.message)) {
                 this->isQueried = true;
             }
+            this->messages += next.to == packetBalancer ? 0 : 1;
+            if (this->lossPercent != 0 && this->random.below(100) < this->lossPercent) {
+                continue;
+            }
             if (this->loseNotices && !this->isQueried && std::holds_alternative<FlowQueryReply>(next.message)) {
                 continue;
             }
@@ -173,6 +214,8 @@
         }
     }
 
+    PacketNetworkOptions options;
+    std::vector<MemberRecord> records; ///< Of the agents.
     platform::PacketCodec codec;
     SeededRandom random { 1 };
     NullEventSink events;
