Rules carry a route's time-out and priority

The operators' document states for each route how long its callers wait and how urgent they are, and both were dropped when it was translated to rules, so that no process could decide by them. The route rule takes `timeout MS` and `priority N` beside `goal MS`, in any order; platform/document.cpp fills them from `timeoutMs` and `priority`.

Nothing decides by the two values yet.

--- a/src/config/rule_parser.cpp
+++ b/src/config/rule_parser.cpp
@@ -1,7 +1,8 @@
 /** @file rule_parser.cpp Parser of the rules: one rule per line, each with a comment that names the requester. */
 #include "config/rule_func.h"
 
-#include "config/rule_line.h"
+#include "config/rule_reader.h"
+#include "config/rule_route.h"
 #include "core/hash_func.h"
 #include "core/text_func.h"
 #include "wire/message_type.h"
@@ -17,96 +18,8 @@
     constexpr uint32_t maximumSlots = 600; ///< Limited because MemberRecord::weight holds hundredths of a slot in 16 bits.
     constexpr uint32_t maximumConnections = 1'000'000;
     constexpr uint32_t maximumRampMilliseconds = 3'600'000;
-    constexpr uint32_t maximumLatencyGoalMilliseconds = 600'000;
     constexpr uint32_t maximumColdOpeningsPerSecond = 1'000'000;
 
-    /** Reads the words of one rule in order. The take functions add a fault if the next word is not what they expect. */
-    class LineReader {
-    public:
-        LineReader(const Line& line, std::vector<RuleFault>& faults)
-            : line(line)
-            , faults(faults)
-        {
-        }
-
-        bool isAtEnd() const { return this->next == this->line.words.size(); }
-
-        void addFault(RulePosition position, std::string text) { this->faults.push_back({ position, std::move(text) }); }
-
-        /** Adds a fault at the next word, or at the end of the line if there is none. */
-        void addFaultAtNextWord(std::string_view expected)
-        {
-            if (this->isAtEnd()) {
-                this->addFault(this->line.end, concat("unexpected end of line: expected ", expected));
-                return;
-            }
-            const Word& word = this->line.words[this->next];
-            this->addFault(word.position, concat("\"", word.text, "\": expected ", expected));
-        }
-
-        std::optional<Word> takeAnyWord(std::string_view expected)
-        {
-            if (this->isAtEnd()) {
-                this->addFaultAtNextWord(expected);
-                return std::nullopt;
-            }
-            return this->line.words[this->next++];
-        }
-
-        std::optional<std::string> takeName(std::string_view expected)
-        {
-            if (this->isAtEnd() || !isValidName(this->line.words[this->next].text, maximumNameBytes)) {
-                this->addFaultAtNextWord(concat(expected, " of a-z, 0-9 and -, at most ", maximumNameBytes, " characters"));
-                return std::nullopt;
-            }
-            return std::string(this->line.words[this->next++].text);
-        }
-
-        std::optional<Address> takeAddress()
-        {
-            if (!this->isAtEnd()) {
-                const absl::StatusOr<Address> address = parseAddress(this->line.words[this->next].text);
-                if (address.ok()) {
-                    ++this->next;
-                    return *address;
-                }
-            }
-            this->addFaultAtNextWord("an address A.B.C.D:PORT with port 1..65535");
-            return std::nullopt;
-        }
-
-        std::optional<uint32_t> takeNumber(uint32_t low, uint32_t high)
-        {
-            uint32_t number = 0;
-            if (this->isAtEnd() || !parseNumber(this->line.words[this->next].text, number) || number < low || number > high) {
-                this->addFaultAtNextWord(concat("a number ", low, "..", high));
-                return std::nullopt;
-            }
-            ++this->next;
-            return number;
-        }
-
-        bool takeKeyword(std::string_view expected)
-        {
-            if (this->isAtEnd() || this->line.words[this->next].text != expected) {
-                this->addFaultAtNextWord(concat("\"", expected, "\""));
-                return false;
-            }
-            ++this->next;
-            return true;
-        }
-
-        bool isNext(std::string_view word) const { return !this->isAtEnd() && this->line.words[this->next].text == word; }
-
-        RulePosition position() const { return this->isAtEnd() ? this->line.end : this->line.words[this->next].position; }
-        RulePosition start() const { return this->line.words.front().position; }
-
-    private:
-        const Line& line;
-        std::vector<RuleFault>& faults;
-        size_t next = 1; ///< Index of the next word; word 0 is the keyword of the rule.
-    };
-
     void parseServiceOptions(LineReader& reader, ServiceRule& rule)
     {
         while (!reader.isAtEnd()) {
@@ -171,38 +84,6 @@
         configuration.services.push_back(std::move(rule));
     }
 
-    void parseRoute(LineReader& reader, Configuration& configuration)
-    {
-        const RulePosition addressPosition = reader.position();
-        const std::optional<Address> address = reader.takeAddress();
-        if (!address || !reader.takeKeyword("to")) {
-            return;
-        }
-        const RulePosition namePosition = reader.position();
-        const std::optional<std::string> name = reader.takeName("a service name");
-        if (!name) {
-            return;
-        }
-        const ServiceRule* service = configuration.findService(*name);
-        if (service == nullptr) {
-            reader.addFault(namePosition, concat("\"", *name, "\": expected the name of a service defined above"));
-            return;
-        }
-        const ServiceId id = configuration.serviceByHash[service->nameHash];
-        if (!configuration.serviceByAddress.emplace(*address, id).second) {
-            reader.addFault(addressPosition,
-                concat("address ", formatAddress(*address), " is already used by a service or route: expected an unused one"));
-            return;
-        }
-        RouteRule& route = configuration.routes[*address];
-        route.shares.push_back({ .service = id });
-        if (reader.isNext("goal")) {
-            (void)reader.takeKeyword("goal");
-            const std::optional<uint32_t> goal = reader.takeNumber(1, maximumLatencyGoalMilliseconds);
-            route.latencyGoal = std::chrono::milliseconds(goal.value_or(1));
-        }
-    }
-
     void parseAnnounce(LineReader& reader, Configuration& configuration)
     {
         const std::optional<std::string> service = reader.takeName("a service name");
--- a/tests/platform_document_test.cpp
+++ b/tests/platform_document_test.cpp
@@ -64,6 +64,23 @@
     CHECK(configuration.mayAnnounce("huvo11a", "anywhere"));
 }
 
+TEST(PlatformDocument, ReadsWhatARoutesRequestsNeed)
+{
+    const auto document = platform::parseOperatorDocument(R"({"version":1,"services":[{"name":"a"}],"routes":[
+        {"host":"198.18.0.1","prefix":"/1/","service":"a","timeoutMs":5000,"latencyGoalMs":400,"priority":2},
+        {"host":"198.18.0.1","prefix":"/2/","service":"a","timeoutMs":"5000","latencyGoalMs":0,"priority":-1},
+        {"host":"198.18.0.1","prefix":"/3/","service":"a","timeoutMs":9e12,"priority":70000}]})",
+        [](std::string_view, std::string_view) {});
+    const ParsedRules parsed = parseRules(document->rules);
+    STRCMP_EQUAL("", formatFaults("rules", parsed.faults).c_str());
+    const RouteRule& stated = parsed.configuration.routes.at({ 0xC6120001, 1 });
+    CHECK(stated.timeout == Duration(5s) && stated.latencyGoal == Duration(400ms) && stated.priority == 2);
+    const RouteRule& malformed = parsed.configuration.routes.at({ 0xC6120001, 2 });
+    CHECK(!malformed.timeout && !malformed.latencyGoal && malformed.priority == 0);
+    const RouteRule& large = parsed.configuration.routes.at({ 0xC6120001, 3 });
+    CHECK(large.timeout == Duration(600s) && large.priority == 255);
+}
+
 TEST(PlatformDocument, ADocumentThatCannotBeReadIsRefusedWhole)
 {
     const auto ignore = [](std::string_view, std::string_view) {};
--- a/tests/rule_test.cpp
+++ b/tests/rule_test.cpp
@@ -110,6 +110,27 @@
         formatFaults("f", parsed.faults).c_str());
 }
 
+TEST(Rule, ARouteCarriesWhatItsRequestsNeed)
+{
+    const ParsedRules parsed = parseRules("service orders # p\n"
+                                          "route 10.0.0.1:80 to orders priority 2 timeout 5000 goal 400 # p\n"
+                                          "route 10.0.0.1:81 to orders # p\n");
+    STRCMP_EQUAL("", formatFaults("f", parsed.faults).c_str());
+    const RouteRule& route = parsed.configuration.routes.at({ 0x0A000001, 80 });
+    CHECK(route.latencyGoal == Duration(400ms) && route.timeout == Duration(5s) && route.priority == 2);
+    const RouteRule& plain = parsed.configuration.routes.at({ 0x0A000001, 81 });
+    CHECK(!plain.latencyGoal && !plain.timeout && plain.priority == 0);
+    STRCMP_EQUAL("f:2:37: \"0\": expected a number 1..600000\n"
+                 "f:3:38: \"256\": expected a number 0..255\n"
+                 "f:4:29: \"colour\": expected \"goal\", \"timeout\" or \"priority\"\n",
+        formatFaults("f", parseRules("service orders # p\n"
+                                     "route 10.0.0.1:80 to orders timeout 0 # p\n"
+                                     "route 10.0.0.1:81 to orders priority 256 # p\n"
+                                     "route 10.0.0.1:82 to orders colour 1 # p\n")
+                              .faults)
+            .c_str());
+}
+
 TEST(Rule, PatchMakesTheNewTextOrDoesNotFit)
 {
     CHECK_TRUE(rc::check("patch", [](const std::string& front, const std::string& before, const std::string& after, const std::string& end) {
