Requests on open flows wait at the agent while the upstream is full

Callers saw requests on flows that were already open answered 503 in a rush, urgent ones like all others: every data packet of an open flow was sent to its upstream at once, whatever its load, and the upstream queues in the order of arrival and sheds beyond its queue.

Ruled out: holding to the end of the time budget (all answers of an overloaded upstream come late, and its callers stay there); resetting the flow (promises nothing to a caller whose request may run once only).

The agent now gives its upstream its slots and a queue of 20 ms of work, and keeps further requests in a queue of its own, ordered by the priority of the flow's route, then by the time left. Each first data of an answer releases the next. A request that can't be answered within the route's goal is sent on at once, so that a full upstream sheds it and its caller is told; one that was held leaves before its time budget ends. Copies replace held packets, later packets of a flow wait behind its held one, an upload gives its place back while it arrives, and a stop, a restart of the upstream or a closed flow sends on or drops what is held. Only where a route of the service states a time-out or a priority; elsewhere packets pass as before.

Tests: PacketHold.* (8, with a property test over 200 random histories), and the 89 existing tests of packets, openings, cold starts and metrics unchanged, 97 in all pass, built apart without optimisation; the full suite was not run for this commit. With the order reversed, copies not recognised, no release of places, no release before the time budget ends, or uploads keeping their place, on scratch copies, one to five of the tests fail.

--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -50,6 +50,11 @@
     OpeningsDeferred, ///< Opening packets dropped without a reset since all queues were full; a retransmission may succeed.
     DirectoryLookups, ///< Unknown flows that an agent looked up in the flow directory.
     DirectoryUnknown, ///< Such lookups without a result: the flow is searched for in another way.
+    RequestsHeld, ///< Requests on open flows that an agent held, since its upstream's slots and short queue were full.
+    RequestsReleased, ///< Held requests that were sent when the upstream had a place for them.
+    RequestsPassedOn, ///< Requests that were sent to a full upstream, since they could not be answered in time from the queue.
+    HeldCopies, ///< Callers' copies of held packets, which replaced them.
+    HeldDropped, ///< Held requests dropped with their flow, which had ended.
     Count, ///< Number of counters.
 };
 
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -73,6 +73,7 @@
 {
     if (const auto* forwarded = std::get_if<ForwardedPacket>(&message)) {
         this->handle(now, *forwarded, actions);
+        this->releaseRequests(now, actions);
     } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
         this->handle(now, *query, actions);
     } else if (const auto* queryReply = std::get_if<FlowQueryReply>(&message)) {
@@ -138,6 +139,7 @@
         this->coldStartLimiter.assumeCold(now);
     }
     this->wasZoneDraining = isZoneDraining;
+    this->holdsRequests = this->doRulesHoldRequests();
     this->updateTable();
 }
 
@@ -188,6 +190,7 @@
     this->firstReport = report;
     this->refusalBackoff.reset();
     this->processingTime.reset();
+    this->resetPlaces();
     this->events.log(EventLevel::Info, "upstream-started",
         {
             { "upstream", report.id },
@@ -309,6 +312,7 @@
     this->tickDirectory(now, actions);
     this->tickLookups(now, actions);
     this->tickSearches(now, actions);
+    this->tickHeldRequests(now, actions);
     this->peers.tick(now, this->follower.revision(), actions);
     this->expireFlows(now);
     this->lastTick = now;
@@ -330,6 +334,7 @@
 void PacketAgent::beginStop(TimePoint now, Actions& actions)
 {
     this->isStopping = true;
+    this->releaseAllRequests(now, actions);
     this->updateOwnRecord(now);
     if (!this->hasUpstreamEnded(now)) {
         this->peers.tick(now, this->follower.revision(), actions);
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -14,6 +14,7 @@
 #include "packet/packet_flow.h"
 #include "packet/processing_time.h"
 #include "packet/refusal_backoff.h"
+#include "packet/request_queue.h"
 #include "packet/segment_base.h"
 #include "packet/upstream_report.h"
 #include "steer/bucket_table.h"
@@ -166,6 +167,7 @@
     void openFlow(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     bool handleKnownFlow(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void deliverToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions);
+    void sendToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, RequestPlace place, Actions& actions);
     void probeUpstream(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void handleProbeRequest(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void forwardUnknownFlow(TimePoint now, const Segment& segment, ForwardedPacket& forwarded, Actions& actions);
@@ -199,6 +201,23 @@
     bool lookUpInDirectory(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void handleDirectoryResult(TimePoint now, DirectoryResult& result, Actions& actions);
     bool isDeniedAgain(TimePoint now, const FlowKey& flow);
+    // packet_hold.cpp
+    bool doRulesHoldRequests() const;
+    const RouteRule* findRoute(Address service) const;
+    UpstreamLoad upstreamLoad() const;
+    void setPlace(PacketFlow& flow, RequestPlace place);
+    bool isCopy(const PacketFlow& flow, const Segment& segment) const;
+    void recordRequestData(PacketFlow& flow, const Segment& segment, RequestPlace place, bool isFirst);
+    bool holdPacket(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions);
+    bool mustSendAll() const;
+    void releaseRequests(TimePoint now, Actions& actions);
+    void releaseAllRequests(TimePoint now, Actions& actions);
+    void sendReleased(TimePoint now, const ReleasedRequest& released, RequestPlace place, Actions& actions);
+    void dropHeldRequest(TimePoint now, const FlowKey& flow);
+    void onUpstreamProgress(TimePoint now, const Segment& segment, Actions& actions);
+    void expirePlace(TimePoint now, const FlowKey& key, PacketFlow& flow);
+    void resetPlaces();
+    void tickHeldRequests(TimePoint now, Actions& actions);
 
     // packet_search.cpp
     bool maySearch() const;
@@ -250,6 +269,15 @@
     uint32_t pendingRequests = 0; ///< Requests that were delivered to the upstream and not answered yet.
     LatencyHistogram handshakeLatencies; ///< From an opening packet to the upstream's answer.
     LatencyHistogram answerLatencies; ///< From a caller's data to the first data of the upstream's answer.
+    bool holdsRequests = false; ///< Requests on open flows may be held: the rules in force ask for it.
+    RequestQueue requestQueue; ///< Requests on open flows that wait for a place at the upstream.
+    size_t placesTaken = 0; ///< Number of flows with RequestPlace::Regular.
+    size_t extraRequests = 0; ///< Number of flows with RequestPlace::Extra.
+    bool isUpstreamReplaced = false; ///< Requests that are held for an earlier lifetime of the upstream leave at the next tick.
+    LatencyHistogram requestWaits; ///< How long requests were held.
+    Duration longestWait {}; ///< Longest wait since the latest requests-held event.
+    uint64_t loggedHeld = 0; ///< Counter::RequestsHeld at the latest requests-held event.
+    TimePoint nextHoldLog {}; ///< Earliest time of the next requests-held event.
     double searchTokens = 0; ///< Token bucket: each search that begins takes one token.
     ColdStartLimiter coldStartLimiter;
     RefusalBackoff refusalBackoff;
--- a/src/packet/packet_agent_status.cpp
+++ b/src/packet/packet_agent_status.cpp
@@ -12,12 +12,15 @@
         .gauges = {
             { "flows", this->flows.size() },
             { "requests_in_flight", this->flowsAwaitingAnswer },
+            { "requests_held", this->requestQueue.size() },
+            { "held_bytes", this->requestQueue.bytes() },
             { "revision", this->follower.revision().position.number },
             { "era", this->follower.revision().position.era },
         },
         .histograms = {
             { "handshake", &this->handshakeLatencies },
             { "answer", &this->answerLatencies },
+            { "request_wait", &this->requestWaits },
         },
     };
 }
@@ -37,6 +40,7 @@
     view.gauges = {
         { "flows", this->flows.size() },
         { "in_flight", this->flowsAwaitingAnswer },
+        { "held", this->requestQueue.size() },
         { "slots", this->peers.self().slots },
         { "datagrams_dropped", droppedDatagrams },
         { "peers", this->peers.otherAgents().size() },
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -26,6 +26,7 @@
     if (!isAwaiting && flow.requestsAtArrival != 0) {
         flow.requestsAtArrival = 0;
         --this->pendingRequests;
+        this->setPlace(flow, RequestPlace::None);
     }
     flow.awaitingSince = now;
 }
@@ -47,6 +48,7 @@
         this->setAwaitingAnswer(found->second.awaitingSince, found->second, false);
         this->setUnclaimed(found->second, false);
         this->registrar.remove(key);
+        this->dropHeldRequest(found->second.lastPacketAt, key);
         this->flows.erase(found);
     }
 }
@@ -63,6 +65,7 @@
         if (flow.isAwaitingAnswer && now - flow.awaitingSince >= requestTimeout) {
             this->setAwaitingAnswer(now, flow, false);
         }
+        this->expirePlace(now, key, flow);
         if (flow.stage == FlowStage::OpeningAnswered && now - flow.createdAt >= unopenedTimeout) {
             // The caller has the answer and may still send its first packet: only slot and connection are given back.
             this->setAwaitingAnswer(now, flow, false);
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace lavender {
@@ -27,12 +28,22 @@
     return names[static_cast<size_t>(stage)];
 }
 
+/** Which place a flow's pending request takes at the upstream. */
+enum class RequestPlace : uint8_t {
+    None, ///< No request is pending, or it is not counted.
+    Regular, ///< One of the places for which requests wait.
+    Extra, ///< Beyond these places: the request could not wait any longer.
+};
+
 /** One flow at this agent's upstream. */
 struct PacketFlow {
     FlowStage stage = FlowStage::OpeningSent;
     bool isAwaitingAnswer = false; ///< The flow was opened or its caller sent data, and the upstream has sent no data since.
     bool isUnclaimed = false; ///< The caller has not used the upstream's answer in time: the flow does not count against the connection limit.
     uint32_t requestsAtArrival = 0; ///< Requests at the upstream when the flow's pending one arrived, itself included; 0 if none is.
+    RequestPlace place = RequestPlace::None; ///< Place of the pending request, where requests may be held.
+    uint16_t requestPackets = 0; ///< Data packets of the latest request that were sent to the upstream, where requests may be held.
+    std::optional<uint32_t> sentUpTo; ///< Sequence number after the data that was sent to the upstream; none if unknown.
     bool hasCallerFinished = false; ///< The caller has closed its end.
     bool hasUpstreamFinished = false; ///< The upstream has closed its end.
     uint32_t upstreamInitialSequence = 0; ///< Sequence number of the upstream's answer to the opening packet.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -23,6 +23,7 @@
     } else {
         this->handleUpstreamPacket(now, *segment, packet, actions);
     }
+    this->onUpstreamProgress(now, *segment, actions);
 }
 
 void PacketAgent::handleUpstreamPacket(TimePoint now, const Segment& segment, std::span<const uint8_t> packet, Actions& actions)
@@ -64,7 +65,9 @@
     }
     if (segment.dataBytes > 0) {
         if (flow.isAwaitingAnswer && flow.requestsAtArrival != 0) {
-            this->processingTime.add(now - flow.awaitingSince, flow.requestsAtArrival, this->peers.self().slots);
+            if (flow.place != RequestPlace::Extra) { // A full upstream may have shed it, which takes no time.
+                this->processingTime.add(now - flow.awaitingSince, flow.requestsAtArrival, this->peers.self().slots);
+            }
             this->answerLatencies.add(now - flow.awaitingSince);
         }
         this->setAwaitingAnswer(now, flow, false);
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -133,18 +133,31 @@
     return true;
 }
 
-/** Updates a flow's state by a packet of its caller and sends the packet to the upstream. */
+/** Sends a packet of a flow's caller to the upstream, or holds it until the upstream has a place for its request. */
 void PacketAgent::deliverToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions)
+{
+    if (!this->holdPacket(now, flow, segment, packet, actions)) {
+        this->sendToUpstream(now, flow, segment, packet, RequestPlace::Regular, actions);
+    }
+}
+
+/** Updates a flow's state by a packet of its caller and sends the packet to the upstream. @param place For the request that it begins. */
+void PacketAgent::sendToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, RequestPlace place, Actions& actions)
 {
     flow.lastPacketAt = now;
     if (segment.isAcknowledging) {
         flow.lastCallerAcknowledgement = segment.acknowledged;
     }
-    if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
+    if (segment.isOpening) {
+        flow.sentUpTo.reset();
+    }
+    if (segment.dataBytes > 0 && flow.stage == FlowStage::Open && !this->isCopy(flow, segment)) {
         this->setAwaitingAnswer(now, flow, true);
-        if (flow.requestsAtArrival == 0) {
+        const bool isFirst = flow.requestsAtArrival == 0;
+        if (isFirst) {
             flow.requestsAtArrival = ++this->pendingRequests;
         }
+        this->recordRequestData(flow, segment, place, isFirst);
     }
     flow.hasCallerFinished = flow.hasCallerFinished || segment.isFinishing;
     if (segment.isReset || (flow.hasCallerFinished && flow.hasUpstreamFinished)) {
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -44,6 +44,11 @@
     { "openings_deferred", "Opening packets left to the caller's next copy: all queues were full" },
     { "directory_lookups", "Unknown flows looked up in the flow directory" },
     { "directory_unknown", "Lookups that the flow directory could not answer" },
+    { "requests_held", "Requests on open flows held while the upstream was full" },
+    { "requests_released", "Held requests sent when the upstream had a place" },
+    { "requests_passed_on", "Requests sent to a full upstream: the queue could not serve them in time" },
+    { "held_copies", "Copies of held packets, which replaced them" },
+    { "held_dropped", "Held requests dropped with their ended flow" },
 } };
 
 } // namespace lavender
