Held requests that are due leave at the tick

The margin of the time budget already covers the time until the next tick, so only the tick searches.

--- a/src/packet/packet_hold.cpp
+++ b/src/packet/packet_hold.cpp
@@ -127,15 +127,12 @@
     return this->isStopping || this->hasDeregistered || this->isUpstreamReplaced || !this->holdsRequests;
 }
 
-/** Sends the requests for which there is a place now, the most urgent first, and those that can't wait any longer. */
+/** Sends the requests for which there is a place now, the most urgent first. */
 void PacketAgent::releaseRequests(TimePoint now, Actions& actions)
 {
     while (this->requestQueue.size() != 0 && this->upstreamLoad().hasPlace()) {
         this->sendReleased(now, *this->requestQueue.takeNext(now), RequestPlace::Regular, actions);
     }
-    while (const auto due = this->requestQueue.takeDue(now)) {
-        this->sendReleased(now, *due, RequestPlace::Extra, actions);
-    }
 }
 
 /** Sends all held requests: the upstream takes, sheds or returns them, and the callers are told. */
@@ -204,12 +201,16 @@
     this->isUpstreamReplaced = this->requestQueue.size() != 0;
 }
 
+/** Sends what is due, and logs that requests were held. */
 void PacketAgent::tickHeldRequests(TimePoint now, Actions& actions)
 {
     if (this->mustSendAll()) {
         this->releaseAllRequests(now, actions);
     }
     this->releaseRequests(now, actions);
+    while (const auto due = this->requestQueue.takeDue(now)) {
+        this->sendReleased(now, *due, RequestPlace::Extra, actions);
+    }
     const uint64_t held = this->count.get(Counter::RequestsHeld);
     if (held == this->loggedHeld || now < this->nextHoldLog) {
         return;
--- a/tests/packet_hold_test.cpp
+++ b/tests/packet_hold_test.cpp
@@ -22,7 +22,7 @@
 
 /** An agent with open flows from ports 1 and up, on which one request was answered after 50 ms. Ports from 7 are callers of the urgent route. */
 struct HoldScene : PacketScene {
-    Delivered delivered; ///< Data, FIN and RST that the upstream has got.
+    Delivered delivered; ///< What the upstream has got since the flows were opened.
 
     explicit HoldScene(uint16_t flows, std::string_view rules = holdRules)
         : PacketScene(0x0A010002, rules)
@@ -43,9 +43,7 @@
     {
         for (const SendToUpstream* sent : this->actionsOf<SendToUpstream>()) {
             const Segment segment = *this->codec.parse(sent->packet);
-            if (segment.dataBytes > 0 || segment.isFinishing || segment.isReset) {
-                this->delivered.emplace_back(segment.source.port, segment.sequence);
-            }
+            this->delivered.emplace_back(segment.source.port, segment.sequence);
         }
         this->actions.clear();
     }
