Setting of a balancer: the rate of its link

Entry instances have links of 10 to 200 Mbit/s and balancers did not know theirs. /limits/link_mbps is optional and needs a restart. The platform renders the rate with a fraction (200.0, 4.8 on small instances), which the kind Number refuses, so there is a kind Decimal. Nothing uses the setting yet.

--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -4,6 +4,7 @@
 #include "core/text_func.h"
 #include "wire/message_type.h"
 
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -65,6 +66,10 @@
             const bool isValid = value.is_number_integer() && value.get<int64_t>() >= setting.minimum && value.get<int64_t>() <= setting.maximum;
             return isValid ? "" : concat(setting.minimum, "..", setting.maximum);
         }
+        case SettingKind::Decimal: {
+            const bool isValid = value.is_number() && value.get<double>() >= static_cast<double>(setting.minimum) && value.get<double>() <= static_cast<double>(setting.maximum);
+            return isValid ? "" : concat(setting.minimum, "..", setting.maximum);
+        }
         case SettingKind::Choice: {
             const std::vector<std::string_view> choices = splitText(setting.choices, '|');
             return isText && std::find(choices.begin(), choices.end(), text) != choices.end() ? "" : concat("one of ", joinText(choices, ", "));
@@ -114,6 +119,7 @@
         case SettingKind::Url:
             return "URL";
         case SettingKind::Number:
+        case SettingKind::Decimal:
             return concat(setting.minimum, "..", setting.maximum);
         case SettingKind::Choice:
             return joinText(splitText(setting.choices, '|'), ", ");
@@ -135,6 +141,12 @@
     return parseNumber(this->text(path), number) ? number : 0;
 }
 
+double SettingValues::decimal(std::string_view path) const
+{
+    double number = 0;
+    return absl::SimpleAtod(this->text(path), &number) ? number : 0;
+}
+
 Address SettingValues::address(std::string_view path) const
 {
     return parseAddress(this->text(path)).value_or(Address {});
@@ -212,6 +224,8 @@
 
 namespace {
 
+    constexpr double bytesPerMegabit = 125'000;
+
     /** The seeds, all with the port of /seeds_port if that is set. */
     std::vector<Address> seedsOf(const SettingValues& values)
     {
@@ -252,6 +266,7 @@
         .fabricListen = values->address("/fabric/listen"),
         .fabricReady = values->address("/fabric/ready"),
         .linger = values->milliseconds("/stop/linger_ms"),
+        .linkBytesPerSecond = static_cast<uint64_t>(values->decimal("/limits/link_mbps") * bytesPerMegabit),
         .metrics = values->address("/metrics"),
         .logFormat = values->text("/log/format"),
         .logLevel = values->text("/log/level"),
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -21,6 +21,8 @@
     std::string text(std::string_view path) const;
     /** Returns the value as a number; 0 if not set. */
     int64_t number(std::string_view path) const;
+    /** Returns the value as a number that may have a fraction; 0 if not set. */
+    double decimal(std::string_view path) const;
     /** Returns the value as an address; not valid if not set. */
     Address address(std::string_view path) const;
     /** Returns the value as a list of addresses. */
@@ -61,6 +63,7 @@
     Address fabricListen; ///< Address that routers deliver opaque packets to; not valid if flows carry exchanges.
     Address fabricReady; ///< Address where routers ask whether to deliver packets.
     Duration linger {}; ///< Time after the signal to stop in which packets are still forwarded.
+    uint64_t linkBytesPerSecond = 0; ///< Rate of the instance's link, each way; 0 if it is not known.
     Address metrics; ///< Address where metrics are served; not valid if they are not.
     std::string logFormat; ///< "text" or "json".
     std::string logLevel; ///< Lowest level that is logged: "debug", "info", "warn" or "error".
--- a/src/settings/setting_type.h
+++ b/src/settings/setting_type.h
@@ -15,6 +15,7 @@
     AddressList, ///< JSON array of addresses.
     Url, ///< "http://A.B.C.D:PORT".
     Number, ///< Integer in [minimum, maximum].
+    Decimal, ///< Number in [minimum, maximum], with or without a fraction.
     Choice, ///< One of SettingDescription::choices.
 };
 
@@ -24,8 +25,8 @@
     SettingKind kind = SettingKind::Name;
     std::string_view defaultValue = {}; ///< Value if the file has none, as text or JSON; empty if there is no default.
     bool isRequired = false; ///< True if the file must have the setting.
-    int64_t minimum = 0; ///< For SettingKind::Number, inclusive.
-    int64_t maximum = 0; ///< For SettingKind::Number, inclusive.
+    int64_t minimum = 0; ///< For SettingKind::Number and SettingKind::Decimal, inclusive.
+    int64_t maximum = 0; ///< For SettingKind::Number and SettingKind::Decimal, inclusive.
     std::string_view choices = {}; ///< For SettingKind::Choice: the valid words, separated by '|'.
     std::string_view help; ///< One line that says what the setting does.
     bool isReloadable = false; ///< True if SIGHUP puts a new value in force; others take a restart.
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -149,6 +149,13 @@
             .help = "Packets are still forwarded for this time after the signal to stop",
             .isReloadable = true,
         },
+        SettingDescription {
+            .path = "/limits/link_mbps",
+            .kind = SettingKind::Decimal,
+            .minimum = 1,
+            .maximum = 1'000'000,
+            .help = "Rate of the instance's link, each way, in Mbit/s; packets then wait for it here, openings and small flows first. If not set, they are sent at once",
+        },
         metricsSetting,
         logFormatSetting,
         logLevelSetting,
--- a/tests/setting_test.cpp
+++ b/tests/setting_test.cpp
@@ -21,6 +21,20 @@
     STRCMP_EQUAL("product", settings->steering.c_str());
 }
 
+TEST(Setting, ReadsTheRateOfTheLinkWithOrWithoutAFraction)
+{
+    const auto linkRate = [](const char* limits) {
+        const std::string text = std::string(R"({"listen": "127.0.0.1:7000", "zone": "a", "limits": )") + limits + "}";
+        const absl::StatusOr<BalancerProcessSettings> settings = parseBalancerSettings(text);
+        CHECK_TRUE(settings.ok());
+        return settings->linkBytesPerSecond;
+    };
+    CHECK_EQUAL(0U, linkRate("{}"));
+    CHECK_EQUAL(1'250'000U, linkRate(R"({"link_mbps": 10})"));
+    CHECK_EQUAL(600'000U, linkRate(R"({"link_mbps": 4.8})"));
+    CHECK_FALSE(parseBalancerSettings(R"({"listen": "127.0.0.1:7000", "zone": "a", "limits": {"link_mbps": 0.5}})").ok());
+}
+
 TEST(Setting, ReportsEveryFault)
 {
     const absl::StatusOr<AgentProcessSettings> settings = parseAgentSettings(R"({
