Balancer paces what it sends to the rate of its link

A balancer sent each packet at once. Where a link is full, packets wait in it in the order of arrival, openings behind the uploads of other flows, and what does not fit is lost.

With /limits/link_mbps packets wait in the balancer instead: round robin over flows, a flow that had nothing waiting first. What waits is bounded by the 200 ms after which senders retransmit; beyond that the newest packet of the flow with the most bytes is dropped. While the link is not full nothing is delayed. The backlog is measured; a balancer whose backlog stays high becomes not ready, with a random share and for a bounded time, so that a zone that is short keeps most of its balancers.

Ruled out: classes by packet size, since the last packet of an upload would pass its own data; dropping the oldest, which leaves the receiver a gap. Without the setting all is as before.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -41,6 +41,7 @@
 Balancer::Balancer(const BalancerSettings& settings, std::unique_ptr<Steering> steering, Random& random)
     : settings(settings)
     , steering(std::move(steering))
+    , readiness(random)
     , members(initialRecord(settings), random, this->count)
 {
 }
@@ -256,6 +257,19 @@
     });
 }
 
+void Balancer::onBacklog(TimePoint now, Duration packetBacklog)
+{
+    this->backlog = packetBacklog;
+    if (this->readiness.update(now, packetBacklog) && this->events != nullptr) {
+        this->events->log(EventLevel::Info, "readiness-changed",
+            {
+                { "ready", this->readiness.isReady() ? "true" : "false" },
+                { "backlog_ms", std::to_string(toMilliseconds(packetBacklog)) },
+                { "zone_balancers", std::to_string(this->members.balancers(this->settings.zone).size() + 1) },
+            });
+    }
+}
+
 void Balancer::beginStop(TimePoint now, Actions& actions)
 {
     this->members.leave(now, this->follower.revision(), actions);
@@ -301,6 +315,10 @@
             { "era", this->follower.revision().position.era },
         },
     };
+    if (this->backlog) {
+        view.gauges.emplace_back("backlog_ms", toMilliseconds(*this->backlog));
+        view.gauges.emplace_back("ready", this->isReady() ? 1 : 0);
+    }
     if (this->openingTracker != nullptr) {
         view.histograms.emplace_back("placement", &this->openingTracker->placementTimes());
     }
@@ -323,6 +341,10 @@
         { "datagrams_dropped", droppedDatagrams },
         { "watcher", this->isWatcher() ? 1U : 0U },
     };
+    if (this->backlog) {
+        view.gauges.emplace_back("backlog_ms", toMilliseconds(*this->backlog));
+        view.gauges.emplace_back("ready", this->isReady() ? 1 : 0);
+    }
     return formatStatus(view);
 }
 
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -3,6 +3,7 @@
 
 #include "balancer/opening_tracker.h"
 #include "balancer/peer_lists.h"
+#include "balancer/readiness_gate.h"
 #include "config/follower_base.h"
 #include "config/stored_rules.h"
 #include "core/action_type.h"
@@ -14,6 +15,7 @@
 #include "steer/steering_base.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -69,6 +71,15 @@
     /** The snapshot for a process that asks for one. */
     Snapshot makeSnapshot(const SnapshotRequest& request) const;
 
+    /**
+     * Takes the time that packets now wait for the link. Only a balancer that knows its link's rate calls this.
+     * Call it regularly: it decides whether the balancer is ready.
+     */
+    void onBacklog(TimePoint now, Duration backlog);
+
+    /** True if routers should deliver packets here: the balancer serves, and is not short of link. */
+    bool isReady() const { return this->isServing() && this->readiness.isReady(); }
+
     /** True if rules are in force and at least one agent is eligible for new flows, so packets can be forwarded. */
     bool isServing() const;
 
@@ -84,6 +95,7 @@
     const ConfigurationFollower& configuration() const { return this->follower; }
     const GossipSystem& gossip() const { return this->members; }
     const Counters& counters() const { return this->count; }
+    Counters& counters() { return this->count; }
 
 private:
     void handle(TimePoint now, const FlowPacket& packet, Actions& actions);
@@ -100,6 +112,8 @@
     BalancerSettings settings;
     std::unique_ptr<Steering> steering;
     Counters count;
+    ReadinessGate readiness;
+    std::optional<Duration> backlog; ///< Last value of onBacklog(); none if the rate of the link is not known.
     GossipSystem members; ///< All known balancers and agents.
     PeerLists peerLists; ///< What agents were told of other agents.
     ConfigurationFollower follower; ///< The rules in force.
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -55,6 +55,9 @@
     RequestsPassedOn, ///< Requests that were sent to a full upstream, since they could not be answered in time from the queue.
     HeldCopies, ///< Callers' copies of held packets, which replaced them.
     HeldDropped, ///< Held requests dropped with their flow, which had ended.
+    PacketsQueueFull, ///< Packets dropped by a balancer: its link is full, and their flow had the most bytes waiting for it.
+    PacketsOutdated, ///< Packets dropped by a balancer: they waited for its link until their sender retransmitted them.
+    PacketsDelayed, ///< Packets that a balancer sent after they had waited for its link.
     Count, ///< Number of counters.
 };
 
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -4,6 +4,7 @@
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
 #include "daemon/log_func.h"
+#include "daemon/paced_sender.h"
 #include "daemon/packet_socket.h"
 #include "daemon/process_base.h"
 #include "daemon/program_func.h"
@@ -33,6 +34,10 @@
             if (settings.fabricListen.isValid()) {
                 this->balancer.enableOpaquePackets(this->codec, this->events);
             }
+            if (settings.linkBytesPerSecond > 0) {
+                this->pacedSender = std::make_unique<PacedSender>(settings.linkBytesPerSecond, this->balancer.counters(),
+                    [this](Address to, std::span<const uint8_t> bytes) { this->sendDatagram(to, bytes); });
+            }
             if (!settings.storeUrl.empty()) {
                 this->store = makeStore(settings.storeDialect, settings.storeUrl, settings.storeTimeout, this->events);
                 const StoreFollowerSettings followerSettings {
@@ -63,7 +68,7 @@
             }
             this->fabric = std::move(*socket);
             this->callerSender = std::make_unique<CallerSender>(*this->fabric, this->settings.fabricListen.port);
-            auto server = HttpServer::open(this->settings.fabricReady, platform::readinessHandler([this] { return !this->isStopping && this->balancer.isServing(); }));
+            auto server = HttpServer::open(this->settings.fabricReady, platform::readinessHandler([this] { return !this->isStopping && this->balancer.isReady(); }));
             if (!server.ok()) {
                 return server.status();
             }
@@ -96,6 +101,9 @@
                 return;
             }
             this->balancer.tick(now, actions);
+            if (this->pacedSender != nullptr) {
+                this->balancer.onBacklog(now, this->pacedSender->backlog());
+            }
             this->logRevisionChange();
             if (this->isAlone()) {
                 this->balancer.onSeeds(now, this->settings.seeds, actions);
@@ -117,8 +125,13 @@
 
         void perform(const Action& action) override
         {
-            const auto* toCaller = std::get_if<SendToCaller>(&action);
-            (toCaller != nullptr && this->callerSender != nullptr) ? this->callerSender->send(toCaller->packet) : Process::perform(action);
+            if (const auto* toCaller = std::get_if<SendToCaller>(&action); toCaller != nullptr && this->callerSender != nullptr) {
+                this->callerSender->send(toCaller->packet);
+            } else if (const auto* send = std::get_if<SendMessage>(&action); send != nullptr && this->pacedSender != nullptr) {
+                this->sendPaced(*send);
+            } else {
+                Process::perform(action);
+            }
         }
 
     private:
@@ -135,6 +148,17 @@
             this->performAll(actions);
         }
 
+        /** Sends a packet of a flow when the link has room for it, and any other message at once. */
+        void sendPaced(const SendMessage& send)
+        {
+            Bytes bytes = this->encapsulation.encode(send.message);
+            if (const auto* forwarded = std::get_if<ForwardedPacket>(&send.message)) {
+                this->pacedSender->send(Process::now(), { forwarded->packet.flow, send.to, std::move(bytes) });
+            } else {
+                this->pacedSender->sendAtOnce(Process::now(), send.to, bytes);
+            }
+        }
+
         void onSeeds(std::span<const Address> found) override
         {
             Actions actions;
@@ -181,6 +205,7 @@
         std::unique_ptr<SeedFinder> seeds; ///< Null if no store is configured.
         std::unique_ptr<UdpSocket> fabric; ///< Packets from routers and to callers; null if no fabric address is configured.
         std::unique_ptr<CallerSender> callerSender; ///< Sends by @c fabric; null if that is null.
+        std::unique_ptr<PacedSender> pacedSender; ///< Null if the rate of the link is not known.
         std::unique_ptr<HttpServer> readiness; ///< Readiness endpoint; null if no fabric address is configured.
         LoopTimer lingerTimer;
         Revision loggedRevision; ///< Revision of the rules that was last logged.
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -104,6 +104,8 @@
     void finish(ExitCode code);
     /** Sends one message by UDP. */
     void sendMessage(Address to, const Message& message);
+    /** Sends one encoded message by UDP. */
+    void sendDatagram(Address to, std::span<const uint8_t> bytes) { this->udp->send(to, bytes); }
     /** Counts a received datagram that could not be used. */
     void countDroppedDatagram() { ++this->droppedDatagrams; }
 
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -49,6 +49,9 @@
     { "requests_passed_on", "Requests sent to a full upstream: the queue could not serve them in time" },
     { "held_copies", "Copies of held packets, which replaced them" },
     { "held_dropped", "Held requests dropped with their ended flow" },
+    { "packets_queue_full", "Packets dropped: the link is full and their flow had the most bytes waiting" },
+    { "packets_outdated", "Packets dropped: they waited for the link until their sender retransmitted them" },
+    { "packets_delayed", "Packets that waited for the link before they were sent" },
 } };
 
 } // namespace lavender
