Openings are admitted by priority of their route, and reset at once beyond its timeout

Callers saw: in a rush all openings are equal, and one that no upstream can answer in time is left to its copies at 200 and 600 ms.

If all candidates would answer only after the timeout, the opening is reset on its first copy. Not so where an offer timed out, a load is unknown, or an earlier copy went through another balancer.

Ruled out: resetting every refused opening at once. In the test's calculation a caller then uses up its three attempts before there is room, which its copies would find. Counters by priority, and the event opening-reserved with all inputs.

--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -12,6 +12,13 @@
     constexpr size_t maximumHeldOpenings = 512; ///< Limits memory; an opening packet has 31 bytes.
     constexpr Duration maximumHoldTime = 400ms; ///< Time between a caller's first and last retransmission of an opening packet.
 
+    /** What the route at this address asks for; nothing if there is none, as at a service's own address. */
+    OpeningNeeds needsOf(const Configuration& configuration, Address address)
+    {
+        const auto route = configuration.routes.find(address);
+        return route == configuration.routes.end() ? OpeningNeeds {} : OpeningNeeds { route->second.priority, route->second.timeout };
+    }
+
 } // namespace
 
 void Balancer::handle(TimePoint now, const FlowPacket& packet, Actions& actions)
@@ -35,7 +42,7 @@
         forwarded.balancer = this->settings.address;
         if (packet.mark == PacketMark::Opening) {
             const std::optional<Segment> segment = this->codec->parse(packet.payload);
-            this->openingTracker->onOpening(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions);
+            this->openingTracker->onOpening(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions, needsOf(configuration, packet.flow.service));
             this->handleRefusedOpenings(now, actions);
             return;
         }
@@ -47,18 +54,20 @@
 
 /**
  * Answers openings that no agent accepted. If agents are only busy, the packet is dropped without a reset, so that the
- * caller's next retransmission can succeed. If all copies were refused, none will follow, so the caller gets a reset.
+ * caller's next retransmission can succeed. If all copies were refused, none will follow, so the caller gets a reset. So it does
+ * if no agent would answer within the route's timeout: waiting for the next copy only spends the caller's time.
  */
 void Balancer::handleRefusedOpenings(TimePoint now, Actions& actions)
 {
     for (const RefusedOpening& opening : this->openingTracker->takeRefused()) {
-        if (opening.areCopiesExhausted) {
+        if (opening.areCopiesExhausted || opening.isUnservable) {
             this->count.add(Counter::FlowsRefused);
+            this->count.add(Counter::OpeningsUnservable, opening.areCopiesExhausted ? 0 : 1);
             this->events->log(EventLevel::Info, "flow-refused",
                 {
                     { "flow", formatFlow(opening.packet.flow) },
-                    { "reason", "queues_full" },
-                    { "copies", std::to_string(lastOpeningRetransmission + 1) },
+                    { "reason", opening.isUnservable ? "over_route_timeout" : "queues_full" },
+                    { "copies", std::to_string(opening.copies) },
                     { "reset", "true" },
                 });
             pushToCaller(actions, opening.packet.flow, this->codec->makeReset(opening.packet.flow, 0));
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -51,7 +51,7 @@
     list.insert(list.begin(), found->second.owner);
 }
 
-void OpeningTracker::onOpening(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions)
+void OpeningTracker::onOpening(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions, const OpeningNeeds& needs)
 {
     Opening& opening = this->openings[forwarded.packet.flow];
     opening.lastUsedAt = now;
@@ -62,10 +62,10 @@
     if (opening.offeredTo.isValid()) {
         return; // A retransmission while the answer to an offer is due.
     }
-    this->startOffers(now, opening, std::move(forwarded), copy, actions);
+    this->startOffers(now, opening, std::move(forwarded), copy, needs, actions);
 }
 
-void OpeningTracker::startOffers(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, Actions& actions)
+void OpeningTracker::startOffers(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, const OpeningNeeds& needs, Actions& actions)
 {
     // A retransmission keeps what is known of earlier copies. Copy 0 starts over: it is a new attempt from the same port.
     opening = {
@@ -74,6 +74,7 @@
         .lastUsedAt = now,
         .isPending = opening.isPending,
         .copy = copy,
+        .needs = needs,
         .refusedCopyMask = copy == 0 ? 0 : opening.refusedCopyMask,
         .hadTimeout = copy != 0 && opening.hadTimeout,
     };
@@ -114,7 +115,7 @@
     for (size_t index = 0; index < candidates.size(); ++index) {
         const uint32_t bit = 1U << index;
         const AgentLoad* load = this->recentLoad(now, candidates[index]);
-        const bool hasNoFreeSlot = load != nullptr && load->busy >= std::min(load->slots, load->limit);
+        const bool hasNoFreeSlot = load != nullptr && load->busy >= std::min(load->slots, load->limitFor(opening.needs.priority));
         opening.hasBusyAgent = opening.hasBusyAgent || (hasNoFreeSlot && load->limit != 0);
         if ((opening.slotOfferMask & bit) != 0 || hasNoFreeSlot || (opening.hasBusyAgent && this->avoided.contains(candidates[index]))) {
             continue;
@@ -137,7 +138,7 @@
         const auto known = this->loads.find(candidates[index]);
         const bool hadSlotOffer = (opening.slotOfferMask & 1U << index) != 0;
         const AgentLoad* load = hadSlotOffer && known != this->loads.end() ? &known->second : this->recentLoad(now, candidates[index]);
-        const bool isUsable = load != nullptr && load->busy < load->limit && (opening.queueOfferMask & 1U << index) == 0
+        const bool isUsable = load != nullptr && load->busy < load->limitFor(opening.needs.priority) && !isOverTimeout(*load, opening.needs) && (opening.queueOfferMask & 1U << index) == 0
             && !this->avoided.contains(candidates[index]);
         // Compares busy / slots, the requests per slot, without a division.
         if (isUsable && (shortest == nullptr || load->busy * shortest->slots < shortest->busy * load->slots)) {
@@ -177,13 +178,50 @@
         opening.refusedCopyMask |= 1U << opening.copy;
     }
     const bool areCopiesExhausted = opening.hasBusyAgent && opening.refusedCopyMask == allCopies && !opening.hadTimeout;
-    this->refused.push_back({ opening.packet.packet, opening.hasBusyAgent, areCopiesExhausted });
+    this->refused.push_back({ opening.packet.packet, opening.hasBusyAgent, areCopiesExhausted, opening.copy + 1, this->isUnservable(opening) });
+}
+
+std::optional<Duration> OpeningTracker::AgentLoad::answerTime() const
+{
+    if (this->processingTime == Duration::zero() || this->slots == 0) {
+        return std::nullopt;
+    }
+    const int64_t requests = std::max<int64_t>(this->busy + 1, this->slots);
+    return this->processingTime * requests / this->slots;
+}
+
+/** True if the agent's upstream is known to answer one more request only after the route's timeout. */
+bool OpeningTracker::isOverTimeout(const AgentLoad& load, const OpeningNeeds& needs)
+{
+    const std::optional<Duration> answerTime = load.answerTime();
+    return needs.timeout && answerTime && *answerTime > *needs.timeout;
+}
+
+/**
+ * True if a refused opening can be reset with certainty that it was not accepted and to no loss of the caller: this balancer saw
+ * all copies refused, and the upstream of every candidate would answer only after the route's timeout. An agent that takes no
+ * flow for another reason than its load, or whose load is unknown, may serve the next copy.
+ */
+bool OpeningTracker::isUnservable(const Opening& opening) const
+{
+    if (!opening.needs.timeout || opening.hadTimeout || opening.copy > lastOpeningRetransmission) {
+        return false;
+    }
+    const uint32_t copiesSoFar = (1U << (opening.copy + 1)) - 1;
+    if (opening.refusedCopyMask != copiesSoFar) {
+        return false;
+    }
+    const auto& candidates = opening.packet.candidates;
+    return std::all_of(candidates.begin(), candidates.end(), [&](Address agent) {
+        const auto found = this->loads.find(agent);
+        return found != this->loads.end() && found->second.limit != 0 && isOverTimeout(found->second, opening.needs);
+    });
 }
 
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
 {
     this->avoided.erase(outcome.agent);
-    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now };
+    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now, outcome.reservedFrom, outcome.reservedLimit, std::chrono::milliseconds(outcome.processingMs) };
     const auto found = this->openings.find(outcome.flow);
     if (found == this->openings.end()) {
         return;
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -10,16 +10,25 @@
 #include "member/member_table.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace lavender {
 
+/** What the route of an opening packet asks for. */
+struct OpeningNeeds {
+    uint8_t priority = 0; ///< 0 is the most urgent.
+    std::optional<Duration> timeout; ///< How long the caller waits for the answer; unknown if not set.
+};
+
 /** An opening packet that no agent accepted. */
 struct RefusedOpening {
     FlowPacket packet;
     bool hasBusyAgent = false; ///< At least one agent refused only because of its load, and may accept a retransmission.
     bool areCopiesExhausted = false; ///< The original and all retransmissions were refused with hasBusyAgent, and no offer timed out.
+    uint32_t copies = 0; ///< Copies that the caller has sent, the refused one included.
+    bool isUnservable = false; ///< No agent would answer within the route's timeout, and no copy so far was accepted or may have been.
 };
 
 /**
@@ -44,7 +53,7 @@
      * Offers an opening packet, or a retransmission of one, to its candidates.
      * @param copy Copies that the caller sent before this one: 0 for the original.
      */
-    void onOpening(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions);
+    void onOpening(TimePoint now, ForwardedPacket forwarded, uint32_t copy, Actions& actions, const OpeningNeeds& needs = {});
 
     /** Orders the candidates of a packet other than an opening: the known owner first, avoided agents last. An owner that is gone is no candidate. */
     void orderCandidates(TimePoint now, ForwardedPacket& forwarded, const MemberTable& members);
@@ -80,6 +89,7 @@
         bool isQueueOffer = false; ///< Offers are for a place in the queue now; free slots are no longer tried.
         bool hasBusyAgent = false; ///< At least one agent has no free slot now, but takes new flows.
         uint32_t copy = 0; ///< Copies that the caller sent before this one: 0 for the original.
+        OpeningNeeds needs; ///< Of the route.
         uint32_t refusedCopyMask = 0; ///< Copies that were refused with hasBusyAgent, one bit each.
         bool hadTimeout = false; ///< An offer timed out; the agent may have accepted it nevertheless.
     };
@@ -90,6 +100,15 @@
         uint16_t slots = 0; ///< Requests that the upstream runs at once.
         uint16_t limit = 0; ///< Requests at the upstream from which on the agent accepts no new flow; 0 if it accepts none at all.
         TimePoint reportedAt {}; ///< When the last outcome arrived.
+        uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
+        uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
+        Duration processingTime {}; ///< Mean time that the upstream works on one request; zero if unknown.
+
+        /** Requests at the upstream from which on the agent accepts no new flow of this priority. */
+        uint16_t limitFor(uint8_t priority) const { return this->reservedFrom != 0 && priority >= this->reservedFrom ? this->reservedLimit : this->limit; }
+
+        /** Expected time until one more request is answered; none if the processing time is unknown. */
+        std::optional<Duration> answerTime() const;
     };
 
     /** An agent that let an offer time out: it comes last among the candidates. */
@@ -98,7 +117,7 @@
         TimePoint announceRequestedAt {}; ///< When tick() last returned the agent.
     };
 
-    void startOffers(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, Actions& actions);
+    void startOffers(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, const OpeningNeeds& needs, Actions& actions);
     void refuse(Opening& opening);
     void offerNext(TimePoint now, Opening& opening, Actions& actions);
     bool offerFreeSlot(TimePoint now, Opening& opening, Actions& actions);
@@ -106,6 +125,8 @@
     void sendOffer(TimePoint now, Opening& opening, Address agent, Actions& actions);
     /** Load of an agent that is recent enough to rely on; null otherwise. */
     AgentLoad* recentLoad(TimePoint now, Address agent);
+    static bool isOverTimeout(const AgentLoad& load, const OpeningNeeds& needs);
+    bool isUnservable(const Opening& opening) const;
     void moveAvoidedLast(std::vector<Address>& candidates) const;
 
     Counters& counters;
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -58,6 +58,15 @@
     PacketsQueueFull, ///< Packets dropped by a balancer: its link is full, and their flow had the most bytes waiting for it.
     PacketsOutdated, ///< Packets dropped by a balancer: they waited for its link until their sender retransmitted them.
     PacketsDelayed, ///< Packets that a balancer sent after they had waited for its link.
+    OpeningsUnservable, ///< Opening packets reset on their first copy: no agent can answer within the route's timeout.
+    OpeningsTakenPriority0, ///< Opening packets that this agent admitted, of priority 0; the next ones are of priority 1, 2, and 3 or less urgent.
+    OpeningsTakenPriority1,
+    OpeningsTakenPriority2,
+    OpeningsTakenPriority3,
+    OpeningsReservedPriority0, ///< Opening packets that this agent passed on to keep room for more urgent ones; by their priority as above, so 0 for priority 0.
+    OpeningsReservedPriority1,
+    OpeningsReservedPriority2,
+    OpeningsReservedPriority3,
     Count, ///< Number of counters.
 };
 
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -82,10 +82,17 @@
  */
 PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now, const Segment& opening) const
 {
-    const size_t limit = opening.acknowledged == 0 ? this->queueLimit(opening.flowOfCaller().service) : this->peers.self().slots;
-    const bool isFull = this->flowsAwaitingAnswer >= limit;
+    const Address service = opening.flowOfCaller().service;
+    const size_t limit = opening.acknowledged == 0 ? this->queueLimit(service) : this->peers.self().slots;
     const Obstacle obstacle = this->obstacle(now);
-    return obstacle == Obstacle::None && isFull ? Obstacle::QueueFull : obstacle;
+    if (obstacle != Obstacle::None) {
+        return obstacle;
+    }
+    if (this->flowsAwaitingAnswer >= limit) {
+        return Obstacle::QueueFull;
+    }
+    const bool isReserved = this->flowsAwaitingAnswer >= this->priorityReserve.limit(now, this->priorityOf(service), this->room(limit));
+    return isReserved ? Obstacle::Reserved : Obstacle::None;
 }
 
 /**
@@ -138,6 +145,8 @@
         return "connections_full";
     case Obstacle::QueueFull:
         return "queue_full";
+    case Obstacle::Reserved:
+        return "kept_for_more_urgent";
     case Obstacle::Cold:
         return "upstream_cold";
     }
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -12,6 +12,7 @@
 #include "packet/flow_directory.h"
 #include "packet/flow_registrar.h"
 #include "packet/packet_flow.h"
+#include "packet/priority_reserve.h"
 #include "packet/processing_time.h"
 #include "packet/refusal_backoff.h"
 #include "packet/request_queue.h"
@@ -132,6 +133,7 @@
         Refusing, ///< The upstream has returned opening packets; the backoff has not expired.
         Connections, ///< The connection limit of the service is reached.
         QueueFull, ///< The upstream's slots and queue are full.
+        Reserved, ///< The free room is kept for more urgent openings.
         Cold, ///< The cold upstream has had as many openings as its rate allows.
     };
 
@@ -158,6 +160,12 @@
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
     size_t queueLimit(Address service) const;
 
+    // packet_priority.cpp
+    uint8_t priorityOf(Address service) const;
+    UpstreamRoom room(size_t limit) const;
+    void recordOpening(TimePoint now, const Segment& opening, OpeningResult result, Obstacle obstacle);
+    void logReserved(TimePoint now, const FlowKey& flow) const;
+
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
     void handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
@@ -282,6 +290,7 @@
     ColdStartLimiter coldStartLimiter;
     RefusalBackoff refusalBackoff;
     ProcessingTime processingTime;
+    PriorityReserve priorityReserve; ///< Room that is kept for more urgent openings.
     std::optional<UpstreamReport> latestReport; ///< Latest report that was accepted; none before the first.
     TimePoint latestReportAt {}; ///< When latestReport arrived.
     UpstreamReport firstReport; ///< First report of the upstream's lifetime that arrived here.
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -21,7 +21,13 @@
 {
     if (flow.isAwaitingAnswer != isAwaiting) {
         flow.isAwaitingAnswer = isAwaiting;
-        this->flowsAwaitingAnswer = isAwaiting ? this->flowsAwaitingAnswer + 1 : this->flowsAwaitingAnswer - 1;
+        if (isAwaiting) {
+            ++this->flowsAwaitingAnswer;
+            this->priorityReserve.beginRequest(flow.priority);
+        } else {
+            --this->flowsAwaitingAnswer;
+            this->priorityReserve.endRequest(flow.priority);
+        }
     }
     if (!isAwaiting && flow.requestsAtArrival != 0) {
         flow.requestsAtArrival = 0;
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -3,6 +3,7 @@
 
 #include "core/address_type.h"
 #include "core/time_type.h"
+#include "packet/priority_reserve.h"
 
 #include <array>
 #include <cstddef>
@@ -38,6 +39,7 @@
 /** One flow at this agent's upstream. */
 struct PacketFlow {
     FlowStage stage = FlowStage::OpeningSent;
+    uint8_t priority = leastUrgentPriority; ///< Of the route that the flow was opened by; 0 is the most urgent.
     bool isAwaitingAnswer = false; ///< The flow was opened or its caller sent data, and the upstream has sent no data since.
     bool isUnclaimed = false; ///< The caller has not used the upstream's answer in time: the flow does not count against the connection limit.
     uint32_t requestsAtArrival = 0; ///< Requests at the upstream when the flow's pending one arrived, itself included; 0 if none is.
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -177,15 +177,17 @@
     const Obstacle obstacle = this->obstacle(now, segment);
     const auto slots = static_cast<size_t>(this->peers.self().slots);
     if (obstacle == Obstacle::None && (this->flowsAwaitingAnswer < slots || forwarded.isPlaced)) {
+        this->recordOpening(now, segment, OpeningResult::Accepted, obstacle);
         this->openFlow(now, segment, forwarded, actions);
         return;
     }
     OpeningResult result = OpeningResult::Refused;
     if (obstacle == Obstacle::None) {
         result = OpeningResult::Busy;
-    } else if (obstacle == Obstacle::QueueFull) {
+    } else if (obstacle == Obstacle::QueueFull || obstacle == Obstacle::Reserved) {
         result = OpeningResult::Full;
     }
+    this->recordOpening(now, segment, result, obstacle);
     this->count.add(Counter::FlowsRefused);
     this->events.log(EventLevel::Info, "opening-passed",
         {
@@ -206,7 +208,13 @@
     }
     const auto clamp = [](size_t number) { return static_cast<uint16_t>(std::min<size_t>(number, UINT16_MAX)); };
     const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit(flow.service) : 0;
-    actions.push_back(SendMessage { balancer, OpeningOutcome { flow, this->settings.address, result, clamp(this->flowsAwaitingAnswer), this->peers.self().slots, clamp(limit) } });
+    OpeningOutcome outcome { flow, this->settings.address, result, clamp(this->flowsAwaitingAnswer), this->peers.self().slots, clamp(limit) };
+    if (const auto reserved = this->priorityReserve.reportedLimit(now, this->room(limit)); reserved && reserved->requests < limit) {
+        outcome.reservedFrom = reserved->from;
+        outcome.reservedLimit = clamp(reserved->requests);
+    }
+    outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
+    actions.push_back(SendMessage { balancer, outcome });
 }
 
 /** Holds an opening packet until the first rules arrive, which are fetched from its balancer at once. */
@@ -238,6 +246,7 @@
     flow.createdAt = now;
     flow.balancer = forwarded.balancer;
     flow.home = forwarded.home;
+    flow.priority = this->priorityOf(forwarded.packet.flow.service);
     this->forgetElsewhere(forwarded.packet.flow);
     this->coldStartLimiter.recordOpening(now);
     if (this->unansweredSince == TimePoint {}) {
--- a/src/packet/priority_reserve.cpp
+++ b/src/packet/priority_reserve.cpp
@@ -11,23 +11,23 @@
 void PriorityReserve::Arrivals::add(TimePoint now)
 {
     const int64_t bucket = now / (window / buckets);
-    if (bucket - this->latest >= static_cast<int64_t>(buckets)) {
+    if (bucket - this->latest >= buckets) {
         this->counts = {};
     } else {
         for (int64_t skipped = this->latest + 1; skipped <= bucket; ++skipped) {
-            this->counts[static_cast<size_t>(skipped) % buckets] = 0;
+            this->counts[static_cast<size_t>(skipped % buckets)] = 0;
         }
     }
     this->latest = std::max(this->latest, bucket);
-    ++this->counts[static_cast<size_t>(bucket) % buckets];
+    ++this->counts[static_cast<size_t>(bucket % buckets)];
 }
 
 size_t PriorityReserve::Arrivals::count(TimePoint now) const
 {
     const int64_t bucket = now / (window / buckets);
     size_t sum = 0;
-    for (int64_t age = bucket - this->latest; age < static_cast<int64_t>(buckets); ++age) {
-        sum += this->counts[static_cast<size_t>(bucket - age) % buckets];
+    for (int64_t age = bucket - this->latest; age < buckets; ++age) {
+        sum += this->counts[static_cast<size_t>((bucket - age) % buckets)];
     }
     return sum;
 }
--- a/src/packet/priority_reserve.h
+++ b/src/packet/priority_reserve.h
@@ -65,7 +65,7 @@
 private:
     /** Arrivals of one priority in a sliding window of buckets. */
     struct Arrivals {
-        static constexpr size_t buckets = 8;
+        static constexpr int64_t buckets = 8;
         std::array<uint32_t, buckets> counts {};
         int64_t latest = 0; ///< Number of the bucket of the latest arrival, from the start of the clock.
 
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -52,6 +52,15 @@
     { "packets_queue_full", "Packets dropped: the link is full and their flow had the most bytes waiting" },
     { "packets_outdated", "Packets dropped: they waited for the link until their sender retransmitted them" },
     { "packets_delayed", "Packets that waited for the link before they were sent" },
+    { "openings_unservable", "Opening packets reset at once: no agent can answer within the route's timeout" },
+    { "openings_taken_priority_0", "Opening packets admitted, of priority 0" },
+    { "openings_taken_priority_1", "Opening packets admitted, of priority 1" },
+    { "openings_taken_priority_2", "Opening packets admitted, of priority 2" },
+    { "openings_taken_priority_3", "Opening packets admitted, of priority 3 or less urgent" },
+    { "openings_reserved_priority_0", "Opening packets passed on to keep room for more urgent ones, of priority 0" },
+    { "openings_reserved_priority_1", "Opening packets passed on to keep room for more urgent ones, of priority 1" },
+    { "openings_reserved_priority_2", "Opening packets passed on to keep room for more urgent ones, of priority 2" },
+    { "openings_reserved_priority_3", "Opening packets passed on to keep room for more urgent ones, of priority 3 or less urgent" },
 } };
 
 } // namespace lavender
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -141,7 +141,7 @@
 {
     archive(outcome.flow, outcome.agent);
     transferEnum(archive, outcome.result, OpeningResult::Refused);
-    archive(outcome.busy, outcome.slots, outcome.limit);
+    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs);
 }
 
 template <typename Archive>
