Outlier detection of upstreams, by how their requests end

Upstreams that accept requests and leave them unanswered, reset them or answer many times as slowly as others kept their even share of new flows: an agent learned from answers only, and balancers from offers only.

A balancer compares the agents of a service at the same moment, sets at most one in /outliers/one_in aside, gives it trials and takes it back once its requests end well.

Ruled out: a fixed limit of failures, which set agents of a service aside that turned ill as a whole; comparing with reports from before the fault, which did so in the first half second of a rush. Left out: error answers, which headers do not show, and open flows, which stay.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -16,6 +16,8 @@
     constexpr Duration fetchPeriod = 500ms; ///< A newer revision is fetched this often until it has arrived. Also the shortest time between two uses of seeds.
     constexpr size_t maximumListedBalancers = 6; ///< Balancers that one reply to an announcement lists.
 
+    constexpr uint32_t lowestOutlierDivisor = 3; ///< With more than a third set aside, the others could not carry the load.
+
     Counter offerCounter(const absl::Status& offered)
     {
         if (offered.ok()) {
@@ -54,6 +56,13 @@
     this->openingTracker = std::make_unique<OpeningTracker>(this->count, eventSink);
 }
 
+void Balancer::configureOutliers(const OutlierSettings& settings)
+{
+    if (this->openingTracker != nullptr) {
+        this->openingTracker->configureOutliers({ .oneIn = settings.oneIn == 0 ? 0 : std::max(settings.oneIn, lowestOutlierDivisor) });
+    }
+}
+
 void Balancer::onMessage(TimePoint now, const Message& message, Actions& actions)
 {
     if (const auto* packet = std::get_if<FlowPacket>(&message)) {
@@ -320,6 +329,7 @@
         view.gauges.emplace_back("ready", this->isReady() ? 1 : 0);
     }
     if (this->openingTracker != nullptr) {
+        view.gauges.emplace_back("outliers", this->openingTracker->outlierCount());
         view.histograms.emplace_back("placement", &this->openingTracker->placementTimes());
     }
     return view;
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -44,6 +44,9 @@
      */
     void enableOpaquePackets(const SegmentCodec& codec, EventSink& events);
 
+    /** Switches outlier detection on or off; without opaque packets it has no effect. */
+    void configureOutliers(const OutlierSettings& settings);
+
     /** Handles a message of another process; unexpected kinds are ignored. */
     void onMessage(TimePoint now, const Message& message, Actions& actions);
 
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -96,6 +96,7 @@
     if (!std::exchange(opening.isPending, true)) {
         this->pending.push_back(opening.packet.packet.flow);
     }
+    this->outliers.onOffer(opening.packet.service, agent);
     opening.offeredTo = agent;
     opening.offeredAt = now;
     ForwardedPacket packet = opening.packet;
@@ -106,10 +107,10 @@
 
 /**
  * Offers the packet to the next candidate that may have a free slot. Avoided agents come last, and get an offer only while
- * no busy agent is known whose queue could be used instead.
+ * no busy agent is known whose queue could be used instead. Outliers that have had their trials get one only if asked for.
  * @return False if no candidate is left.
  */
-bool OpeningTracker::offerFreeSlot(TimePoint now, Opening& opening, Actions& actions)
+bool OpeningTracker::offerFreeSlot(TimePoint now, Opening& opening, bool includesHeldBack, Actions& actions)
 {
     const auto& candidates = opening.packet.candidates;
     for (size_t index = 0; index < candidates.size(); ++index) {
@@ -120,6 +121,9 @@
         if ((opening.slotOfferMask & bit) != 0 || hasNoFreeSlot || (opening.hasBusyAgent && this->avoided.contains(candidates[index]))) {
             continue;
         }
+        if (!includesHeldBack && this->outliers.isHeldBack(opening.packet.service, candidates[index])) {
+            continue;
+        }
         opening.slotOfferMask |= bit;
         ++opening.slotOffers;
         this->sendOffer(now, opening, candidates[index], actions);
@@ -139,7 +143,7 @@
         const bool hadSlotOffer = (opening.slotOfferMask & 1U << index) != 0;
         const AgentLoad* load = hadSlotOffer && known != this->loads.end() ? &known->second : this->recentLoad(now, candidates[index]);
         const bool isUsable = load != nullptr && load->busy < load->limitFor(opening.needs.priority) && !isOverTimeout(*load, opening.needs) && (opening.queueOfferMask & 1U << index) == 0
-            && !this->avoided.contains(candidates[index]);
+            && !this->avoided.contains(candidates[index]) && !this->outliers.isAside(opening.packet.service, candidates[index]);
         // Compares busy / slots, the requests per slot, without a division.
         if (isUsable && (shortest == nullptr || load->busy * shortest->slots < shortest->busy * load->slots)) {
             shortest = load;
@@ -158,15 +162,18 @@
 void OpeningTracker::offerNext(TimePoint now, Opening& opening, Actions& actions)
 {
     const bool mayOfferSlot = !opening.isQueueOffer && opening.slotOffers < maximumSlotOffers;
-    if (mayOfferSlot && this->offerFreeSlot(now, opening, actions)) {
+    if (mayOfferSlot && this->offerFreeSlot(now, opening, false, actions)) {
         return;
     }
     if (this->offerQueuePlace(now, opening, actions)) {
         return;
     }
-    if (!opening.isQueueOffer && this->offerFreeSlot(now, opening, actions)) {
+    if (!opening.isQueueOffer && this->offerFreeSlot(now, opening, false, actions)) {
         return; // No queue can be used: tries further agents beyond maximumSlotOffers.
     }
+    if (!opening.isQueueOffer && !opening.hasBusyAgent && this->offerFreeSlot(now, opening, true, actions)) {
+        return; // No other agent takes new flows at present, however few it has.
+    }
     this->refuse(opening);
 }
 
@@ -227,7 +234,11 @@
         return;
     }
     Opening& opening = found->second;
+    this->outliers.onReport(now, opening.packet.service, outcome.agent, outcome.requests);
     if (outcome.result == OpeningResult::Accepted) {
+        if (!opening.owner.isValid()) {
+            this->outliers.onPlaced(opening.packet.service);
+        }
         this->placementHistogram.add(now - opening.startedAt);
         opening.owner = outcome.agent;
         opening.offeredTo = {};
@@ -275,6 +286,7 @@
     }
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryPeriod;
+        this->outliers.expire(now);
         std::erase_if(this->openings, [now](const auto& entry) { return now - entry.second.lastUsedAt >= idleTimeout; });
     }
     std::erase_if(this->avoided, [now](const auto& entry) { return now >= entry.second.until; });
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -1,6 +1,7 @@
 /** @file opening_tracker.h Finds an agent, and so an upstream, for each opening packet of an opaque flow. */
 #pragma once
 
+#include "balancer/outlier_detector.h"
 #include "core/action_type.h"
 #include "core/address_type.h"
 #include "core/counter_type.h"
@@ -46,9 +47,13 @@
     OpeningTracker(Counters& counters, EventSink& events)
         : counters(counters)
         , events(events)
+        , outliers(counters, events)
     {
     }
 
+    /** Switches outlier detection on or off. */
+    void configureOutliers(const OutlierSettings& settings) { this->outliers.configure(settings); }
+
     /**
      * Offers an opening packet, or a retransmission of one, to its candidates.
      * @param copy Copies that the caller sent before this one: 0 for the original.
@@ -70,6 +75,9 @@
     /** Opening packets that no agent accepted since the last call. */
     std::vector<RefusedOpening> takeRefused() { return std::exchange(this->refused, {}); }
 
+    /** Agents that are set aside as outliers now. */
+    size_t outlierCount() const { return this->outliers.asideCount(); }
+
     /** Times from the arrival of an opening packet to the upstream's answer. */
     const LatencyHistogram& placementTimes() const { return this->placementHistogram; }
 
@@ -120,7 +128,7 @@
     void startOffers(TimePoint now, Opening& opening, ForwardedPacket forwarded, uint32_t copy, const OpeningNeeds& needs, Actions& actions);
     void refuse(Opening& opening);
     void offerNext(TimePoint now, Opening& opening, Actions& actions);
-    bool offerFreeSlot(TimePoint now, Opening& opening, Actions& actions);
+    bool offerFreeSlot(TimePoint now, Opening& opening, bool includesHeldBack, Actions& actions);
     bool offerQueuePlace(TimePoint now, Opening& opening, Actions& actions);
     void sendOffer(TimePoint now, Opening& opening, Address agent, Actions& actions);
     /** Load of an agent that is recent enough to rely on; null otherwise. */
@@ -131,6 +139,7 @@
 
     Counters& counters;
     EventSink& events;
+    OutlierDetector outliers;
     std::unordered_map<FlowKey, Opening> openings; ///< By flow; expire when the flow is idle.
     std::vector<FlowKey> pending; ///< Flows with an unanswered offer; the next tick drops those that were answered in the meantime.
     TimePoint nextExpiry {}; ///< When idle openings are removed next.
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -67,6 +67,8 @@
     OpeningsReservedPriority1,
     OpeningsReservedPriority2,
     OpeningsReservedPriority3,
+    OutliersAside, ///< Agents set aside since their upstreams end more requests badly than others of their service.
+    OutlierTrials, ///< Openings offered to agents while they were set aside.
     Count, ///< Number of counters.
 };
 
--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -33,6 +33,7 @@
         {
             if (settings.fabricListen.isValid()) {
                 this->balancer.enableOpaquePackets(this->codec, this->events);
+                this->balancer.configureOutliers({ .oneIn = settings.outliersOneIn });
             }
             if (settings.linkBytesPerSecond > 0) {
                 this->pacedSender = std::make_unique<PacedSender>(settings.linkBytesPerSecond, this->balancer.counters(),
@@ -88,6 +89,7 @@
             setupLog(fresh.logFormat, fresh.logLevel);
             this->settings.linger = fresh.linger;
             this->settings.seeds = fresh.seeds;
+            this->balancer.configureOutliers({ .oneIn = fresh.outliersOneIn });
         }
 
         MetricsView metrics() const override { return this->balancer.metrics(); }
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -191,6 +191,7 @@
     this->refusalBackoff.reset();
     this->processingTime.reset();
     this->resetPlaces();
+    this->outcomeWindow.reset();
     this->events.log(EventLevel::Info, "upstream-started",
         {
             { "upstream", report.id },
@@ -315,6 +316,7 @@
     this->tickHeldRequests(now, actions);
     this->peers.tick(now, this->follower.revision(), actions);
     this->expireFlows(now);
+    this->tickOutcomes(now);
     this->lastTick = now;
 }
 
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -11,6 +11,7 @@
 #include "packet/directory_lookup.h"
 #include "packet/flow_directory.h"
 #include "packet/flow_registrar.h"
+#include "packet/outcome_window.h"
 #include "packet/packet_flow.h"
 #include "packet/priority_reserve.h"
 #include "packet/processing_time.h"
@@ -165,6 +166,10 @@
     UpstreamRoom room(size_t limit) const;
     void recordOpening(TimePoint now, const Segment& opening, OpeningResult result, Obstacle obstacle);
     void logReserved(TimePoint now, const FlowKey& flow) const;
+    // packet_outcome.cpp
+    void observeRequestPart(TimePoint now, PacketFlow& flow, const Segment& segment);
+    void observeUpstreamPacket(TimePoint now, const FlowKey& key, const PacketFlow& flow, const Segment& segment);
+    void tickOutcomes(TimePoint now);
 
     // packet_route.cpp
     void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
@@ -291,6 +296,7 @@
     RefusalBackoff refusalBackoff;
     ProcessingTime processingTime;
     PriorityReserve priorityReserve; ///< Room that is kept for more urgent openings.
+    OutcomeWindow outcomeWindow;
     std::optional<UpstreamReport> latestReport; ///< Latest report that was accepted; none before the first.
     TimePoint latestReportAt {}; ///< When latestReport arrived.
     UpstreamReport firstReport; ///< First report of the upstream's lifetime that arrived here.
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -55,6 +55,7 @@
         this->setUnclaimed(found->second, false);
         this->registrar.remove(key);
         this->dropHeldRequest(found->second.lastPacketAt, key);
+        this->outcomeWindow.forget(key);
         this->flows.erase(found);
     }
 }
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -42,6 +42,8 @@
     uint8_t priority = leastUrgentPriority; ///< Of the route that the flow was opened by; 0 is the most urgent.
     bool isAwaitingAnswer = false; ///< The flow was opened or its caller sent data, and the upstream has sent no data since.
     bool isUnclaimed = false; ///< The caller has not used the upstream's answer in time: the flow does not count against the connection limit.
+    uint32_t callerEnd = 0; ///< Sequence number after the caller's latest data; data before it is a retransmission.
+    bool isCallerEndKnown = false; ///< callerEnd holds a value.
     uint32_t requestsAtArrival = 0; ///< Requests at the upstream when the flow's pending one arrived, itself included; 0 if none is.
     RequestPlace place = RequestPlace::None; ///< Place of the pending request, where requests may be held.
     uint16_t requestPackets = 0; ///< Data packets of the latest request that were sent to the upstream, where requests may be held.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -63,6 +63,7 @@
             this->sendFlowQueryReply(key, flow.home, true, actions);
         }
     }
+    this->observeUpstreamPacket(now, key, flow, segment);
     if (segment.dataBytes > 0) {
         if (flow.isAwaitingAnswer && flow.requestsAtArrival != 0) {
             if (flow.place != RequestPlace::Extra) { // A full upstream may have shed it, which takes no time.
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -158,9 +158,11 @@
             flow.requestsAtArrival = ++this->pendingRequests;
         }
         this->recordRequestData(flow, segment, place, isFirst);
+        this->observeRequestPart(now, flow, segment);
     }
     flow.hasCallerFinished = flow.hasCallerFinished || segment.isFinishing;
     if (segment.isReset || (flow.hasCallerFinished && flow.hasUpstreamFinished)) {
+        this->outcomeWindow.forget(segment.flowOfCaller());
         flow.stage = FlowStage::Closed;
         this->setAwaitingAnswer(now, flow, false);
     }
@@ -214,6 +216,7 @@
         outcome.reservedLimit = clamp(reserved->requests);
     }
     outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
+    outcome.requests = this->outcomeWindow.counts(now);
     actions.push_back(SendMessage { balancer, outcome });
 }
 
--- a/src/packet/processing_time.h
+++ b/src/packet/processing_time.h
@@ -32,6 +32,9 @@
     /** Average processing time; none until minimumSamples requests were answered. */
     std::optional<Duration> mean() const { return this->sampleCount < minimumSamples ? std::nullopt : std::optional(this->average); }
 
+    /** Lowest average so far, which an upstream that has slowed down does not raise; none until minimumSamples requests were answered. */
+    std::optional<Duration> usual() const { return this->lowestAverage == Duration::zero() ? std::nullopt : std::optional(this->lowestAverage); }
+
     /** True if the average is above twice its lowest value. A cold upstream takes only some 1.6 times as long as a warm one. */
     bool hasSlowedDown() const { return this->sampleCount >= minimumSamples && this->average > this->lowestAverage * 2; }
 
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -265,6 +265,7 @@
         .steering = values->text("/steering"),
         .fabricListen = values->address("/fabric/listen"),
         .fabricReady = values->address("/fabric/ready"),
+        .outliersOneIn = static_cast<uint32_t>(values->number("/outliers/one_in")),
         .linger = values->milliseconds("/stop/linger_ms"),
         .linkBytesPerSecond = static_cast<uint64_t>(values->decimal("/limits/link_mbps") * bytesPerMegabit),
         .metrics = values->address("/metrics"),
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -62,6 +62,7 @@
     std::string steering; ///< Name of the steering: "product", "packets", "naive" or "hash".
     Address fabricListen; ///< Address that routers deliver opaque packets to; not valid if flows carry exchanges.
     Address fabricReady; ///< Address where routers ask whether to deliver packets.
+    uint32_t outliersOneIn = 0; ///< At most one in this many upstreams of a service is set aside; 0 turns outlier detection off.
     Duration linger {}; ///< Time after the signal to stop in which packets are still forwarded.
     uint64_t linkBytesPerSecond = 0; ///< Rate of the instance's link, each way; 0 if it is not known.
     Address metrics; ///< Address where metrics are served; not valid if they are not.
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -192,6 +192,15 @@
     Refused, ///< The upstream takes no new flow at present: it is draining, silent or cold, for example.
 };
 
+/** How the requests of the latest second or so ended at one upstream, as its agent saw it. */
+struct RequestOutcomes {
+    uint16_t finished = 0; ///< Requests that the upstream began to answer.
+    uint16_t failed = 0; ///< Requests that it broke off, or has left without an answer for too long.
+    uint16_t goodInARow = 0; ///< Requests answered since the last that counts as failed, whenever that was.
+    uint32_t processingUs = 0; ///< Mean processing time of the finished requests in microseconds; 0 if there are none.
+    bool operator==(const RequestOutcomes&) const = default;
+};
+
 /** Tells the balancer what an agent did with the opening packet of an opaque flow, and the agent's load. */
 struct OpeningOutcome {
     FlowKey flow;
@@ -203,6 +212,7 @@
     uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
     uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
     uint32_t processingMs = 0; ///< Mean time that the upstream works on one request, rounded up; 0 if unknown.
+    RequestOutcomes requests; ///< How the latest requests ended at the agent's upstream.
     bool operator==(const OpeningOutcome&) const = default;
 };
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -136,12 +136,18 @@
     archive(forwarded.home, forwarded.balancer, forwarded.searcher);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, RequestOutcomes& requests)
+{
+    archive(requests.finished, requests.failed, requests.goodInARow, requests.processingUs);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, OpeningOutcome& outcome)
 {
     archive(outcome.flow, outcome.agent);
     transferEnum(archive, outcome.result, OpeningResult::Refused);
-    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs);
+    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs, outcome.requests);
 }
 
 template <typename Archive>
