Routes divide their flows among several services by weight

Callers of a route that the operators' document divides among services (`backends`) got nothing: the route was left out with a log line. And where a route changed its service, flows that were open in the former one were reset: packets went to agents of the new service only, and these denied them.

Rules name several services with weights. RouteHistory remembers for an hour how routes were divided before. A packet of an open flow whose owner the balancer does not know carries the other services that the flow may be at: when all agents of one deny the flow, or one is silent for 60 ms, the packet passes to an agent of the next. The owner reports to the balancer, so the detour is not taken for each packet. A flow is reset only after a thorough search in each service, and by no agent whose rules name a service where the packet has not been.

Ruled out: searching all services at once (the losing search would reset a living flow), a denial to the balancer (it would have to keep packets), hash ranges (a change moves flows between services whose shares stay). docs/design/routes.md has the rest.

Wire version 3: ForwardedPacket, FlowQueryReply and OpeningOutcome have new fields at the end, OpeningResult a new value.

Existing tests that changed: Codec.EveryMessageIsReadBack fills the new fields too; tests/packet_network.h can hold agents of a second service, the default is as before. No other test changed. A route with one service that never had another carries an empty list.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -74,8 +74,7 @@
     } else if (const auto* exchange = std::get_if<DigestExchange>(&message)) {
         this->members.onDigestExchange(now, *exchange, actions);
     } else if (const auto* outcome = std::get_if<OpeningOutcome>(&message); outcome != nullptr && this->openingTracker != nullptr) {
-        this->openingTracker->onOutcome(now, *outcome, actions);
-        this->handleRefusedOpenings(now, actions);
+        this->handle(now, *outcome, actions);
     }
 }
 
@@ -198,6 +197,7 @@
     const std::set<std::string> changed = this->members.takeChangedServices();
     if (isNewRevision) {
         this->tablesRevision = this->follower.revision();
+        this->updateRoutes(now);
         this->steering->removeUnconfiguredServices(configuration);
         for (const ServiceRule& service : configuration.services) {
             this->steering->updateService(now, service, configuration, this->members.table().agentsOf(service.name));
@@ -323,6 +323,7 @@
             { "revision", this->follower.revision().position.number },
             { "era", this->follower.revision().position.era },
         },
+        .labelledCounters = this->splitTraffic.series(),
     };
     if (this->backlog) {
         view.gauges.emplace_back("backlog_ms", toMilliseconds(*this->backlog));
--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -4,6 +4,7 @@
 #include "balancer/opening_tracker.h"
 #include "balancer/peer_lists.h"
 #include "balancer/readiness_gate.h"
+#include "balancer/split_traffic.h"
 #include "config/follower_base.h"
 #include "config/stored_rules.h"
 #include "core/action_type.h"
@@ -12,6 +13,7 @@
 #include "core/random_base.h"
 #include "member/gossip_base.h"
 #include "packet/segment_base.h"
+#include "steer/route_history.h"
 #include "steer/steering_base.h"
 
 #include <memory>
@@ -104,6 +106,10 @@
     void handle(TimePoint now, const FlowPacket& packet, Actions& actions);
     void handle(TimePoint now, const Announce& announce, Actions& actions);
     void handle(TimePoint now, const Gossip& gossip, Actions& actions);
+    void handle(TimePoint now, const OpeningOutcome& outcome, Actions& actions);
+    void updateRoutes(TimePoint now);
+    std::vector<uint64_t> servicesFor(TimePoint now, const FlowPacket& packet) const;
+    bool selectAgents(TimePoint now, ForwardedPacket& forwarded);
     void fetchNewerRules(TimePoint now, Address peer, const Revision& revision, Actions& actions);
     void handleRefusedOpenings(TimePoint now, Actions& actions);
     void refuseIfOpening(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions);
@@ -121,6 +127,8 @@
     PeerLists peerLists; ///< What agents were told of other agents.
     ConfigurationFollower follower; ///< The rules in force.
     StoredRulesFilter storedRules;
+    RouteHistory routeHistory; ///< The services of each route, now and before.
+    SplitTraffic splitTraffic;
     Revision tablesRevision; ///< Revision of the rules that the bucket tables were built with.
     TimePoint nextFetch {}; ///< No snapshot is fetched before this time.
     TimePoint nextSeeds {}; ///< Seeds are ignored before this time.
--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -24,15 +24,13 @@
 void Balancer::handle(TimePoint now, const FlowPacket& packet, Actions& actions)
 {
     this->count.add(Counter::PacketsReceived);
-    const Configuration& configuration = this->follower.current();
-    const auto service = configuration.serviceByAddress.find(packet.flow.service);
-    if (service == configuration.serviceByAddress.end() || packet.isToCaller) {
+    if (!this->follower.current().serviceByAddress.contains(packet.flow.service) || packet.isToCaller) {
         this->count.add(Counter::PacketsNoService);
         this->refuseIfOpening(now, packet, "no_route", actions);
         return;
     }
     ForwardedPacket forwarded { .packet = packet };
-    if (!this->steering->selectCandidates(now, configuration.services[service->second.value], forwarded)) {
+    if (!this->selectAgents(now, forwarded)) {
         this->count.add(Counter::PacketsNoUpstream);
         this->refuseIfOpening(now, packet, "no_upstream", actions);
         return;
@@ -41,12 +39,12 @@
     if (this->openingTracker != nullptr) {
         forwarded.balancer = this->settings.address;
         if (packet.mark == PacketMark::Opening) {
+            forwarded.rulesRevision = this->follower.revision();
             const std::optional<Segment> segment = this->codec->parse(packet.payload);
             this->openingTracker->onOpening(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions, needsOf(configuration, packet.flow.service));
             this->handleRefusedOpenings(now, actions);
             return;
         }
-        this->openingTracker->orderCandidates(now, forwarded, this->members.table());
     }
     const Address first = forwarded.candidates.front();
     actions.push_back(SendMessage { first, std::move(forwarded) });
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -38,7 +38,7 @@
     auto& list = forwarded.candidates;
     this->moveAvoidedLast(list);
     const auto found = this->openings.find(forwarded.packet.flow);
-    if (found == this->openings.end() || !found->second.owner.isValid()) {
+    if (found == this->openings.end() || !found->second.owner.isValid() || found->second.packet.service != forwarded.service) {
         return;
     }
     found->second.lastUsedAt = now;
@@ -55,7 +55,7 @@
 {
     Opening& opening = this->openings[forwarded.packet.flow];
     opening.lastUsedAt = now;
-    if (opening.owner.isValid() && !this->avoided.contains(opening.owner)) {
+    if (opening.owner.isValid() && !this->avoided.contains(opening.owner) && opening.packet.service == forwarded.service) {
         actions.push_back(SendMessage { opening.owner, std::move(forwarded) });
         return;
     }
@@ -225,6 +225,24 @@
     });
 }
 
+std::optional<uint64_t> OpeningTracker::serviceOf(const FlowKey& flow) const
+{
+    const auto found = this->openings.find(flow);
+    return found == this->openings.end() || !found->second.owner.isValid() ? std::nullopt : std::optional(found->second.packet.service);
+}
+
+void OpeningTracker::learnOwner(TimePoint now, const OpeningOutcome& outcome)
+{
+    Opening& opening = this->openings[outcome.flow];
+    if (opening.offeredTo.isValid()) {
+        return; // The caller opens the flow anew from the same port.
+    }
+    opening.packet.packet.flow = outcome.flow;
+    opening.packet.service = outcome.service;
+    opening.owner = outcome.agent;
+    opening.lastUsedAt = now;
+}
+
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
 {
     this->avoided.erase(outcome.agent);
@@ -241,13 +259,16 @@
         }
         this->placementHistogram.add(now - opening.startedAt);
         opening.owner = outcome.agent;
+        opening.packet.service = outcome.service; // Not that of an offer made since, if the rules have changed between copies.
         opening.offeredTo = {};
         opening.lastUsedAt = now;
         opening.packet.packet.payload.clear();
         return;
     }
     opening.hasBusyAgent = opening.hasBusyAgent || outcome.result != OpeningResult::Refused;
-    if (outcome.agent == opening.offeredTo) {
+    if (outcome.agent == opening.offeredTo && outcome.result == OpeningResult::OtherRules) {
+        this->refuse(opening); // So would all agents of the service. The caller's next copy goes where later rules send it.
+    } else if (outcome.agent == opening.offeredTo) {
         this->offerNext(now, opening, actions);
     }
 }
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -63,6 +63,12 @@
     /** Orders the candidates of a packet other than an opening: the known owner first, avoided agents last. An owner that is gone is no candidate. */
     void orderCandidates(TimePoint now, ForwardedPacket& forwarded, const MemberTable& members);
 
+    /** Service of the known owner of a flow; nullopt if none is known. */
+    std::optional<uint64_t> serviceOf(const FlowKey& flow) const;
+
+    /** Takes an agent's report that it owns an open flow. */
+    void learnOwner(TimePoint now, const OpeningOutcome& outcome);
+
     /** Handles the answer of an agent to an offer: updates its load and, unless it accepted, makes the next offer. */
     void onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions);
 
--- a/src/config/rule_reader.cpp
+++ b/src/config/rule_reader.cpp
@@ -16,6 +16,12 @@
     this->addFault(word.position, concat("\"", word.text, "\": expected ", expected));
 }
 
+bool LineReader::isNextNumber() const
+{
+    uint32_t number = 0;
+    return !this->isAtEnd() && parseNumber(this->line.words[this->next].text, number);
+}
+
 std::optional<Word> LineReader::takeAnyWord(std::string_view expected)
 {
     if (this->isAtEnd()) {
--- a/src/config/rule_reader.h
+++ b/src/config/rule_reader.h
@@ -23,6 +23,8 @@
 
     bool isAtEnd() const { return this->next == this->line.words.size(); }
     bool isNext(std::string_view word) const { return !this->isAtEnd() && this->line.words[this->next].text == word; }
+    bool isNextNumber() const;
+    std::string_view nextWord() const { return this->isAtEnd() ? std::string_view() : this->line.words[this->next].text; }
     RulePosition position() const { return this->isAtEnd() ? this->line.end : this->line.words[this->next].position; }
     RulePosition start() const { return this->line.words.front().position; }
 
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -69,6 +69,8 @@
     OpeningsReservedPriority3,
     OutliersAside, ///< Agents set aside since their upstreams end more requests badly than others of their service.
     OutlierTrials, ///< Openings offered to agents while they were set aside.
+    OpeningsRoutedElsewhere, ///< Opening packets that an agent refused: its rules, later than the balancer's, send them to other services.
+    PacketsPassedToService, ///< Packets that an agent passed to another service of their route, as no agent of its own holds the flow.
     Count, ///< Number of counters.
 };
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -3,6 +3,8 @@
 
 #include "core/text_func.h"
 
+#include <utility>
+
 namespace lavender {
 
 namespace {
@@ -34,6 +36,13 @@
     for (const auto& [name, value] : view.gauges) {
         appendText(text, "# TYPE lavender_", name, " gauge\nlavender_", name, " ", value, "\n");
     }
+    std::string_view labelledName;
+    for (const LabelledCounter& counter : view.labelledCounters) {
+        if (counter.name != std::exchange(labelledName, counter.name)) {
+            appendText(text, "# TYPE lavender_", counter.name, "_total counter\n");
+        }
+        appendText(text, "lavender_", counter.name, "_total{", counter.labels, "} ", counter.value, "\n");
+    }
     for (const auto& [name, histogram] : view.histograms) {
         appendHistogram(text, name, *histogram);
     }
--- a/src/core/metrics_func.h
+++ b/src/core/metrics_func.h
@@ -12,10 +12,18 @@
 
 namespace lavender {
 
+/** A counter that is written once for each set of labels. */
+struct LabelledCounter {
+    std::string_view name; ///< Without the "lavender_" prefix and "_total" suffix.
+    std::string labels; ///< Text between the braces.
+    uint64_t value = 0;
+};
+
 /** The metrics of one process. */
 struct MetricsView {
     const Counters* counters = nullptr;
     std::vector<std::pair<std::string_view, uint64_t>> gauges; ///< Name without the "lavender_" prefix, and value.
+    std::vector<LabelledCounter> labelledCounters; ///< Those of one name follow each other.
     /** Name without the "lavender_" prefix and "_seconds" suffix, and latencies; written in seconds. */
     std::vector<std::pair<std::string_view, const LatencyHistogram*>> histograms;
 };
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -126,6 +126,7 @@
 {
     const Configuration& configuration = this->follower.current();
     const ServiceRule* rule = configuration.findService(this->settings.service);
+    (void)this->routeHistory.update(now, configuration);
     this->coldStartLimiter.setRate(rule == nullptr ? std::nullopt : rule->coldOpeningsPerSecond);
     this->events.log(EventLevel::Info, "rules-in-force",
         {
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -20,6 +20,7 @@
 #include "packet/segment_base.h"
 #include "packet/upstream_report.h"
 #include "steer/bucket_table.h"
+#include "steer/route_history.h"
 
 #include <set>
 #include <span>
@@ -195,6 +196,15 @@
     void cacheOwner(TimePoint now, const FlowKey& flow, Address owner);
     void fillCandidates(ForwardedPacket& forwarded) const;
 
+    // packet_service.cpp
+    bool isRoutedElsewhere(const ForwardedPacket& opening) const;
+    void refuseRoutedElsewhere(TimePoint now, const ForwardedPacket& opening, Actions& actions);
+    bool passToNextService(ForwardedPacket packet, Actions& actions);
+    bool endBriefSearch(const FlowKey& flow, Actions& actions);
+    void endOverdueBriefSearches(TimePoint now, Actions& actions);
+    void reportOwnerToOtherService(const FlowKey& flow, Address home, Address balancer, Actions& actions) const;
+    bool wereAllServicesAsked(TimePoint now, const ForwardedPacket& packet) const;
+
     // packet_lookup.cpp
     void forgetElsewhere(const FlowKey& flow);
     void beginLookup(TimePoint now, const ForwardedPacket& forwarded, bool isDirectoryAsked);
@@ -262,6 +272,7 @@
     Counters count;
     PeerSystem peers;
     ConfigurationFollower follower;
+    RouteHistory routeHistory; ///< The services of each route, now and before.
     BucketTable table; ///< Buckets of this agent's service, as the balancers compute them.
     uint64_t tableChangeCount = 0; ///< Change count of the peers that the table was computed from.
     Revision tableRevision; ///< Revision of the rules that the table was computed from.
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -4,12 +4,14 @@
 #include "core/address_type.h"
 #include "core/time_type.h"
 #include "packet/priority_reserve.h"
+#include "wire/message_type.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace lavender {
 
@@ -55,6 +57,8 @@
     Address balancer; ///< Balancer that the opening packet came through; not valid if unknown.
     Address home; ///< First agent on the way of the flow's packets; it is told the owner if that is another agent.
     Address searcher; ///< Agent that searches for the flow and waits for the result of the probe; not valid if there is none.
+    std::vector<ServiceEntry> otherServices; ///< Of the packet that was sent as a probe: where it goes if the flow is not in this service.
+    uint8_t servicePasses = 0; ///< Of the packet that was sent as a probe: times that it has passed to another service.
     TimePoint createdAt {}; ///< When this entry was made: for an opening packet, a probe, or the upstream's first packet of a flow that was unknown here.
     TimePoint awaitingSince {}; ///< When isAwaitingAnswer was last set or cleared.
     TimePoint lastPacketAt {}; ///< When the latest packet of either end passed.
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -59,6 +59,8 @@
         this->registerFlow(now, key, actions);
         if (flow.searcher.isValid()) {
             this->sendFlowQueryReply(key, std::exchange(flow.searcher, {}), true, actions);
+        } else if (flow.servicePasses > 0) {
+            this->reportOwnerToOtherService(key, flow.home, flow.balancer, actions);
         } else if (flow.home.isValid() && flow.home != this->settings.address) {
             this->sendFlowQueryReply(key, flow.home, true, actions);
         }
@@ -113,6 +115,7 @@
     const FlowKey key = segment.flowOfCaller();
     const auto found = this->flows.find(key);
     Address home = this->settings.address;
+    PacketFlow probed; ///< What the flow's entry says of the way of the packet, if it was a probe.
     this->events.log(EventLevel::Info, "packet-returned",
         {
             { "flow", formatFlow(key) },
@@ -134,6 +137,7 @@
         const Address searcher = found->second.searcher;
         const Address balancer = found->second.balancer;
         home = found->second.home.isValid() ? found->second.home : home;
+        probed = stage == FlowStage::Probing ? found->second : probed;
         this->eraseFlow(key);
         if (segment.isOpening) {
             this->refusalBackoff.onRefused(now);
@@ -151,6 +155,9 @@
     }
     this->cacheOwner(now, key, {});
     ForwardedPacket forwarded { .packet = { .flow = key, .payload = { packet.begin(), packet.end() } }, .service = this->serviceHash, .home = home };
+    forwarded.otherServices = std::move(probed.otherServices);
+    forwarded.servicePasses = probed.servicePasses;
+    forwarded.balancer = forwarded.otherServices.empty() && probed.servicePasses == 0 ? Address {} : probed.balancer;
     this->codec.clearReturned(forwarded.packet.payload);
     this->fillCandidates(forwarded);
     (void)markVisited(forwarded, this->settings.address);
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -33,6 +33,9 @@
         return;
     }
     ForwardedPacket forwarded = received;
+    if (forwarded.servicePasses > 0 && forwarded.candidates.empty()) {
+        this->fillCandidates(forwarded); // Agents of another service do not know those of this one.
+    }
     if (!markVisited(forwarded, this->settings.address)) {
         this->count.add(Counter::PacketsHopLimit);
         return;
@@ -41,7 +44,8 @@
         forwarded.home = this->settings.address; // The balancer's first choice may be another agent that it avoids now.
     }
     const FlowKey& key = forwarded.packet.flow;
-    if (const auto flow = this->flows.find(key); flow != this->flows.end() && this->handleKnownFlow(now, flow->second, *segment, forwarded, actions)) {
+    const bool isRefused = segment->isOpening && this->isRoutedElsewhere(forwarded);
+    if (const auto flow = this->flows.find(key); !isRefused && flow != this->flows.end() && this->handleKnownFlow(now, flow->second, *segment, forwarded, actions)) {
         if (forwarded.searcher.isValid()) {
             if (flow->second.stage == FlowStage::Probing) {
                 flow->second.searcher = forwarded.searcher; // Gets the reply with the upstream's answer to the probe.
@@ -83,7 +87,9 @@
 void PacketAgent::reportOwner(const PacketFlow& flow, const ForwardedPacket& forwarded, Actions& actions) const
 {
     const bool isOwner = flow.stage == FlowStage::Open || flow.stage == FlowStage::Closed;
-    if (isOwner && forwarded.home.isValid() && forwarded.home != this->settings.address) {
+    if (isOwner && forwarded.servicePasses > 0) {
+        this->reportOwnerToOtherService(forwarded.packet.flow, forwarded.home, forwarded.balancer, actions);
+    } else if (isOwner && forwarded.home.isValid() && forwarded.home != this->settings.address) {
         this->sendFlowQueryReply(forwarded.packet.flow, forwarded.home, true, actions);
     }
 }
@@ -115,7 +121,7 @@
         }
         flow.stage = FlowStage::Open;
         this->setUnclaimed(flow, false);
-        if (flow.home.isValid() && flow.home != this->settings.address) {
+        if (flow.servicePasses == 0 && flow.home.isValid() && flow.home != this->settings.address) {
             this->sendFlowQueryReply(forwarded.packet.flow, flow.home, true, actions);
         }
         break;
@@ -176,6 +182,10 @@
         this->holdOpening(now, forwarded, actions);
         return;
     }
+    if (this->isRoutedElsewhere(forwarded)) {
+        this->refuseRoutedElsewhere(now, forwarded, actions);
+        return;
+    }
     const Obstacle obstacle = this->obstacle(now, segment);
     const auto slots = static_cast<size_t>(this->peers.self().slots);
     if (obstacle == Obstacle::None && (this->flowsAwaitingAnswer < slots || forwarded.isPlaced)) {
@@ -216,6 +226,7 @@
         outcome.reservedLimit = clamp(reserved->requests);
     }
     outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
+    outcome.service = this->serviceHash;
     outcome.requests = this->outcomeWindow.counts(now);
     actions.push_back(SendMessage { balancer, outcome });
 }
@@ -281,6 +292,11 @@
     flow.createdAt = now;
     flow.searcher = forwarded.searcher;
     flow.home = forwarded.home;
+    flow.otherServices = forwarded.otherServices;
+    flow.servicePasses = forwarded.servicePasses;
+    if (!flow.otherServices.empty() || flow.servicePasses > 0) {
+        flow.balancer = forwarded.balancer; // The owner, in whichever service, reports to it.
+    }
     this->count.add(Counter::FlowsProbed);
     this->firstProbeAt = this->probesSent++ == 0 ? now : this->firstProbeAt;
     this->events.log(EventLevel::Info, "flow-probed",
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -113,6 +113,11 @@
 
 void PacketAgent::handle(TimePoint now, const FlowQueryReply& reply, Actions& actions)
 {
+    if (reply.isOtherService) {
+        this->lookups.erase(reply.flow);
+        this->searches.erase(reply.flow);
+        return;
+    }
     const auto found = this->searches.find(reply.flow);
     if (found == this->searches.end()) {
         this->handleLookupNotice(now, reply);
@@ -176,7 +181,7 @@
 void PacketAgent::endRoundIfComplete(TimePoint now, const FlowKey& flow, Actions& actions)
 {
     Search& search = this->searches[flow];
-    if (!search.pendingPeers.empty()) {
+    if (!search.pendingPeers.empty() || this->endBriefSearch(flow, actions)) {
         return;
     }
     if (search.isLookup) {
@@ -242,7 +247,10 @@
     const SearchSource source = this->searches[flow].source;
     const Duration duration = now - this->searches[flow].startedAt;
     this->searches.erase(flow);
-    const bool mayReset = this->mayReset(now, flow, source);
+    if (this->passToNextService(packet, actions)) {
+        return;
+    }
+    const bool mayReset = this->mayReset(now, flow, source) && this->wereAllServicesAsked(now, packet);
     const std::optional<Segment> segment = this->codec.parse(packet.packet.payload);
     this->count.add(Counter::FlowsLost);
     this->events.log(EventLevel::Info, "flow-lost",
@@ -262,6 +270,7 @@
 {
     const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
     this->searchTokens = std::min(this->searchTokens + elapsed * searchesPerSecond, searchBurst);
+    this->endOverdueBriefSearches(now, actions);
     std::vector<FlowKey> deniedByAll;
     for (auto& [flow, search] : this->searches) {
         this->repeatProbeRequests(now, search, actions);
--- a/src/table/counter_table.cpp
+++ b/src/table/counter_table.cpp
@@ -63,6 +63,8 @@
     { "openings_reserved_priority_3", "Opening packets passed on to keep room for more urgent ones, of priority 3 or less urgent" },
     { "outliers_aside", "Agents set aside: their upstreams end more requests badly than others" },
     { "outlier_trials", "Opening packets offered to agents while they were set aside" },
+    { "openings_routed_elsewhere", "Opening packets refused: later rules send them to other services" },
+    { "packets_passed_to_service", "Packets passed to another service of their route" },
 } };
 
 } // namespace lavender
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -26,6 +26,8 @@
 constexpr size_t maximumSnapshotBytes = 16'000'000; ///< Longest encoded snapshot.
 constexpr size_t digestBuckets = 64; ///< Buckets that the member table is split into for anti-entropy.
 constexpr size_t maximumFlowsPerRegistration = 80; ///< Flows in one FlowRegistration.
+constexpr size_t maximumRouteServices = 3; ///< Services of a route in which a flow is looked for.
+constexpr size_t maximumServiceEntries = 2 * maximumRouteServices - 2; ///< Each service is entered twice: first briefly, but for the last one, then thoroughly.
 constexpr uint8_t maximumHops = 14; ///< Agents that one packet may pass through.
 
 /** Role of a packet in its flow. */
@@ -45,6 +47,13 @@
     bool operator==(const FlowPacket&) const = default;
 };
 
+/** Where a packet enters another service of its route. */
+struct ServiceEntry {
+    uint64_t service = 0; ///< hashText of the service's name.
+    Address agent; ///< Agent of the service that gets the packet first.
+    bool operator==(const ServiceEntry&) const = default;
+};
+
 /** A packet of a flow on its way through the agents of its service, to the one that owns the flow. */
 struct ForwardedPacket {
     FlowPacket packet; ///< The packet as received from the caller.
@@ -64,6 +73,9 @@
     Address home;
     Address balancer; ///< Balancer that an OpeningOutcome is sent to; not valid if none is wanted.
     Address searcher; ///< Agent that is told whether the receiver holds the flow: it searches for it or awaits the owner's report. Not valid if none does.
+    std::vector<ServiceEntry> otherServices; ///< Where the packet goes next if no agent of this service holds its flow; empty for an opening packet.
+    uint8_t servicePasses = 0; ///< Times that the packet has passed to another service.
+    Revision rulesRevision; ///< For an opening packet: rules by which the balancer chose the service; not valid if not stated.
 
     bool operator==(const ForwardedPacket&) const = default;
 };
@@ -82,6 +94,7 @@
     Address responder; ///< Agent that answers.
     Address owner; ///< Agent that holds the flow; not valid if the responder knows of none.
     bool mayHoldFlow = false; ///< The responder's upstream may hold the flow; only a packet sent to it can tell.
+    bool isOtherService = false; ///< The owner belongs to another service than the receiver.
     bool operator==(const FlowQueryReply&) const = default;
 };
 
@@ -190,6 +203,7 @@
     Busy, ///< No slot is free; the agent takes the packet into its queue if offered again with ForwardedPacket::isPlaced.
     Full, ///< The agent's queue is full for now.
     Refused, ///< The upstream takes no new flow at present: it is draining, silent or cold, for example.
+    OtherRules, ///< The agent's rules, which are later than the balancer's, send the flow to other services.
 };
 
 /** How the requests of the latest second or so ended at one upstream, as its agent saw it. */
@@ -213,6 +227,8 @@
     uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
     uint32_t processingMs = 0; ///< Mean time that the upstream works on one request, rounded up; 0 if unknown.
     RequestOutcomes requests; ///< How the latest requests ended at the agent's upstream.
+    uint64_t service = 0; ///< hashText of the name of the agent's service.
+    bool isOpen = false; ///< Not an answer to an offer: the agent owns this flow, which was looked for in another service.
     bool operator==(const OpeningOutcome&) const = default;
 };
 
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -126,6 +126,9 @@
     transferList(archive, packet.payload, maximumPayloadBytes);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ServiceEntry& entry) { archive(entry.service, entry.agent); }
+
 template <typename Archive>
 void serialize(Archive& archive, ForwardedPacket& forwarded)
 {
@@ -134,6 +137,8 @@
     archive(forwarded.visited, forwarded.hops);
     transferBool(archive, forwarded.isPlaced);
     archive(forwarded.home, forwarded.balancer, forwarded.searcher);
+    transferList(archive, forwarded.otherServices, maximumServiceEntries);
+    archive(forwarded.servicePasses, forwarded.rulesRevision);
 }
 
 template <typename Archive>
@@ -146,8 +151,9 @@
 void serialize(Archive& archive, OpeningOutcome& outcome)
 {
     archive(outcome.flow, outcome.agent);
-    transferEnum(archive, outcome.result, OpeningResult::Refused);
-    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs, outcome.requests);
+    transferEnum(archive, outcome.result, OpeningResult::OtherRules);
+    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs, outcome.requests, outcome.service);
+    transferBool(archive, outcome.isOpen);
 }
 
 template <typename Archive>
@@ -178,6 +184,7 @@
 {
     archive(reply.flow, reply.responder, reply.owner);
     transferBool(archive, reply.mayHoldFlow);
+    transferBool(archive, reply.isOtherService);
 }
 
 template <typename Archive>
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -28,9 +28,9 @@
     const FlowPacket packet { flow, PacketMark::Opening, true, { 1, 2, 3 } };
     return {
         packet,
-        ForwardedPacket { packet, 9, { { 1, 2 }, { 3, 4 } }, 3, 2, true, { 5, 6 } },
+        ForwardedPacket { packet, 9, { { 1, 2 }, { 3, 4 } }, 3, 2, true, { 5, 6 }, { 7, 8 }, { 9, 1 }, { { 2, { 3, 4 } } }, 5, revisionAt(6) },
         FlowQuery { 1, flow, { 1, 2 } },
-        FlowQueryReply { flow, { 1, 2 }, { 3, 4 } },
+        FlowQueryReply { flow, { 1, 2 }, { 3, 4 }, true, true },
         FlowMove { 1, flow, { 1, 2 }, 99, 3 },
         FlowMoveReply { flow, { 1, 2 }, 3, true },
         LoadReport { 1, { 1, 2 }, 3, 4, 5 },
@@ -42,7 +42,7 @@
         StatusReply { 1, "{}" },
         SnapshotRequest { revisionAt(3), true, 4 },
         Snapshot { { UINT64_MAX, { 128, UINT64_MAX } }, { revisionAt(1), 2, 3, "rules", 4 }, { record } },
-        OpeningOutcome { flow, { 5, 6 }, OpeningResult::Busy, 7, 5, 12, 2, 4, 60, { 30, 4, 2, 55'000 } },
+        OpeningOutcome { flow, { 5, 6 }, OpeningResult::OtherRules, 7, 5, 12, 2, 4, 60, { 30, 4, 2, 55'000 }, 13, true },
         FlowRegistration { 1, { 1, 2 }, 3, 4, true, true, { flow } },
         FlowRegistrationReply { { 1, 2 }, 3, 4 },
         DirectoryQuery { 1, flow, { 1, 2 } },
--- a/tests/packet_network.h
+++ b/tests/packet_network.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -19,15 +20,16 @@
     uint64_t upstreamsStarted = 500'000; ///< Unix milliseconds; the agents start at 1,000,000.
     std::string_view rules = packetRules;
     Duration firstColdLeft {}; ///< Remaining cold time in the first report of each upstream.
+    uint32_t otherServiceFrom = UINT32_MAX; ///< Index of the first agent that belongs to "proofs" instead of "orders".
 };
 
-inline MemberRecord packetAgentRecord(uint32_t index)
+inline MemberRecord packetAgentRecord(uint32_t index, std::string_view service = "orders")
 {
     return {
         .address = packetAgent(index),
         .role = MemberRole::Agent,
         .zone = "a",
-        .service = "orders",
+        .service = std::string(service),
         .incarnation = 1'000'000,
         .version = 1,
         .slots = 2,
@@ -46,11 +48,16 @@
 /** Agents that know each other, with a virtual clock. Messages arrive at once, but for those to agents that do not run. */
 class PacketNetwork {
 public:
-    explicit PacketNetwork(uint32_t count, const PacketNetworkOptions& options = {})
+    explicit PacketNetwork(uint32_t count, std::string_view rules = packetRules, uint32_t otherService = UINT32_MAX)
+        : PacketNetwork(count, PacketNetworkOptions { .rules = rules, .otherServiceFrom = otherService })
+    {
+    }
+
+    PacketNetwork(uint32_t count, const PacketNetworkOptions& options)
         : options(options)
     {
         for (uint32_t index = 0; index < count; ++index) {
-            this->records.push_back(packetAgentRecord(index));
+            this->records.push_back(packetAgentRecord(index, this->serviceOf(index)));
         }
         for (uint32_t index = 0; index < count; ++index) {
             this->nodes.emplace_back();
@@ -68,7 +75,7 @@
             PacketAgentSettings {
                 .address = packetAgent(index),
                 .zone = "a",
-                .service = "orders",
+                .service = this->serviceOf(index),
                 .incarnation = this->records[index].incarnation,
                 .slots = 2,
                 .hasFlowDirectory = this->options.hasFlowDirectory,
@@ -128,10 +135,11 @@
                 .mark = segment.isOpening ? PacketMark::Opening : PacketMark::Established,
                 .payload = std::move(bytes),
             },
-            .service = hashText("orders"),
+            .service = hashText(this->serviceOf(first)),
             .candidates = std::move(candidates),
             .home = packetAgent(home),
             .balancer = packetBalancer,
+            .otherServices = this->otherServices,
         };
         this->inFlight.push_back({ packetAgent(first), std::move(forwarded) });
         this->deliverAll();
@@ -150,10 +158,13 @@
                     continue;
                 }
                 if (isReportDue) {
-                    (void)node.agent->onUpstreamReport(this->now, { .id = "u", .service = "orders", .started = this->options.upstreamsStarted, .sequence = this->sequence, .slots = 2, .coldLeft = this->sequence == 1 ? this->options.firstColdLeft : Duration() });
+                    (void)node.agent->onUpstreamReport(this->now, { .id = "u", .service = node.agent->self().service, .started = this->options.upstreamsStarted, .sequence = this->sequence, .slots = 2, .coldLeft = this->sequence == 1 ? this->options.firstColdLeft : Duration() });
                 }
                 Actions actions;
                 node.agent->tick(this->now, actions);
+                if (this->doBalancersReply) {
+                    node.agent->onMessage(this->now, AnnounceReply { .balancer = packetBalancer }, actions);
+                }
                 this->collect(node, actions);
             }
             this->deliverAll();
@@ -164,9 +175,14 @@
     bool loseNotices = false; ///< Reports on the owner of a flow are lost, but for replies to queries.
     uint32_t lossPercent = 0; ///< Of the messages between agents.
     size_t messages = 0; ///< Messages between agents, lost ones included.
+    bool doBalancersReply = false; ///< A balancer confirms the agents' view of the membership all the time.
+    std::vector<ServiceEntry> otherServices; ///< Of the packets that balancers forward.
+    std::optional<OpeningOutcome> openReport; ///< Latest report to a balancer on the owner of an open flow.
     size_t resets = 0; ///< Packets sent to callers other than the answers to openings.
 
 private:
+    std::string serviceOf(uint32_t index) const { return index < this->options.otherServiceFrom ? "orders" : "proofs"; }
+
     void deliverAll()
     {
         this->isQueried = false;
@@ -199,6 +215,8 @@
         for (const Action& action : actions) {
             if (const auto* send = std::get_if<SendMessage>(&action)) {
                 this->inFlight.push_back(*send);
+                const auto* outcome = std::get_if<OpeningOutcome>(&send->message);
+                this->openReport = outcome != nullptr && outcome->isOpen ? *outcome : this->openReport;
             } else if (std::holds_alternative<SendToCaller>(action)) {
                 ++this->resets;
             } else if (const auto* delivery = std::get_if<SendToUpstream>(&action)) {
--- a/tests/platform_document_test.cpp
+++ b/tests/platform_document_test.cpp
@@ -81,6 +81,25 @@
     CHECK(large.timeout == Duration(600s) && large.priority == 255);
 }
 
+TEST(PlatformDocument, TranslatesSplitRoutes)
+{
+    int faults = 0;
+    const auto document = platform::parseOperatorDocument(R"({"version":1,"services":[{"name":"a"},{"name":"b"},{"name":"goal"}],"routes":[
+        {"host":"198.18.0.1","prefix":"/1/","backends":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+        {"host":"198.18.0.1","prefix":"/2/","backends":[{"service":"a","weight":5},{"service":"gone","weight":5},{"service":"a","weight":"7"},7,{"service":"goal","weight":1}]},
+        {"host":"198.18.0.1","prefix":"/3/","backends":[{"service":"a","weight":0}]},
+        {"host":"198.18.0.1","prefix":"/4/","backends":[{"service":"a","weight":2},{"service":"a","weight":9000000}]}]})",
+        [&faults](std::string_view, std::string_view) { ++faults; });
+    CHECK_EQUAL(5, faults);
+    const ParsedRules parsed = parseRules(document->rules);
+    STRCMP_EQUAL("", formatFaults("rules", parsed.faults).c_str());
+    const auto& routes = parsed.configuration.routes;
+    CHECK_EQUAL(3, routes.size());
+    CHECK(routes.at({ 0xC6120001, 1 }).shares.size() == 2 && routes.at({ 0xC6120001, 1 }).shares[1].weight == 10);
+    CHECK(routes.at({ 0xC6120001, 2 }).shares.size() == 1 && routes.at({ 0xC6120001, 2 }).shares[0].weight == 5);
+    CHECK_EQUAL(1'000'000, routes.at({ 0xC6120001, 4 }).shares[0].weight);
+}
+
 TEST(PlatformDocument, ADocumentThatCannotBeReadIsRefusedWhole)
 {
     const auto ignore = [](std::string_view, std::string_view) {};
--- a/tests/rule_test.cpp
+++ b/tests/rule_test.cpp
@@ -131,6 +131,27 @@
             .c_str());
 }
 
+TEST(Rule, ARouteDividesItsFlowsAmongServices)
+{
+    const std::string services = "service orders # p\nservice proofs # p\n";
+    const ParsedRules parsed = parseRules(services + "route 10.0.0.1:80 to proofs 10 orders 90 goal 400 # p\n");
+    STRCMP_EQUAL("", formatFaults("f", parsed.faults).c_str());
+    const RouteRule& route = parsed.configuration.routes.at({ 0x0A000001, 80 });
+    CHECK_EQUAL(2, route.shares.size());
+    CHECK(parsed.configuration.services[route.shares[0].service.value].name == "proofs" && route.shares[0].weight == 10 && route.shares[1].weight == 90);
+    CHECK(route.latencyGoal == Duration(400ms));
+    STRCMP_EQUAL("f:3:37: unexpected end of line: expected a number 0..1000000\n"
+                 "f:4:32: \"orders\" stands twice: expected each service once\n"
+                 "f:5:22: all weights are 0: expected one above 0\n"
+                 "f:6:32: \"gone\": expected the name of a service defined above\n",
+        formatFaults("f", parseRules(services + "route 10.0.0.1:80 to orders 1 proofs    # p\n"
+                                                "route 10.0.0.1:81 to orders 1  orders 2 # p\n"
+                                                "route 10.0.0.1:82 to orders 0 proofs 0 # p\n"
+                                                "route 10.0.0.1:83 to orders 1  gone 1 # p\n")
+                              .faults)
+            .c_str());
+}
+
 TEST(Rule, PatchMakesTheNewTextOrDoesNotFit)
 {
     CHECK_TRUE(rc::check("patch", [](const std::string& front, const std::string& before, const std::string& after, const std::string& end) {
