Flow directory: no statement before the owner can judge its upstream; openings of a packet agent in a file of their own

Cause: an agent without rules or report yet states that its upstream may hold flows that it does not know; with more than 16 such agents the directory cannot tell, and the flow is searched for among all. Now an agent states nothing of that before it has a report and rules, or 300 ms have passed; and a running search of all agents does not keep a packet's flow out of the directory.

--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -41,7 +41,7 @@
         if (packet.mark == PacketMark::Opening) {
             forwarded.rulesRevision = this->follower.revision();
             const std::optional<Segment> segment = this->codec->parse(packet.payload);
-            this->openingTracker->onOpening(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions, needsOf(configuration, packet.flow.service));
+            this->openingTracker->onOpening(now, std::move(forwarded), segment ? segment->acknowledged : 0, actions, needsOf(this->follower.current(), packet.flow.service));
             this->handleRefusedOpenings(now, actions);
             return;
         }
--- a/src/packet/flow_registrar.cpp
+++ b/src/packet/flow_registrar.cpp
@@ -79,7 +79,7 @@
 void FlowRegistrar::send(TimePoint now, const RegistrarIdentity& identity, Address agent, Channel& channel, Actions& actions)
 {
     channel.flowsInMessage = std::min(channel.pending.size(), maximumFlowsPerRegistration);
-    channel.wasComplete = channel.flowsInMessage == channel.pending.size();
+    channel.wasComplete = identity.isJudged && channel.flowsInMessage == channel.pending.size();
     channel.sentAt = now;
     ++channel.number;
     ++channel.unanswered;
@@ -144,7 +144,7 @@
     this->refresh(now);
     for (auto& [agent, channel] : this->channels) {
         const Duration period = channel.unanswered < quickRepeats ? repeatPeriod : slowRepeatPeriod;
-        const bool isOpen = channel.isStatementDue || !channel.pending.empty();
+        const bool isOpen = (channel.isStatementDue && identity.isJudged) || !channel.pending.empty();
         if (isOpen && (channel.sentAt == TimePoint {} || now - channel.sentAt >= period)) {
             this->send(now, identity, agent, channel, actions);
         }
--- a/src/packet/flow_registrar.h
+++ b/src/packet/flow_registrar.h
@@ -16,6 +16,7 @@
     Address owner;
     uint64_t incarnation = 0; ///< Of the owner.
     bool knowsAllFlows = false; ///< The owner's upstream can hold no flow that the owner does not know.
+    bool isJudged = false; ///< The owner can tell whether it knows all flows; until then its messages do not count as complete.
     bool operator==(const RegistrarIdentity&) const = default;
 };
 
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -172,13 +172,15 @@
     void observeUpstreamPacket(TimePoint now, const FlowKey& key, const PacketFlow& flow, const Segment& segment);
     void tickOutcomes(TimePoint now);
 
-    // packet_route.cpp
-    void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
+    // packet_opening.cpp
     void handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void reportOutcome(TimePoint now, const FlowKey& flow, OpeningResult result, Address balancer, Actions& actions) const;
     void holdOpening(TimePoint now, const ForwardedPacket& forwarded, Actions& actions);
     void releaseHeldOpenings(TimePoint now, Actions& actions);
     void openFlow(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
+
+    // packet_route.cpp
+    void handle(TimePoint now, const ForwardedPacket& received, Actions& actions);
     bool handleKnownFlow(TimePoint now, PacketFlow& flow, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions);
     void deliverToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, Actions& actions);
     void sendToUpstream(TimePoint now, PacketFlow& flow, const Segment& segment, const Bytes& packet, RequestPlace place, Actions& actions);
--- a/src/packet/packet_directory.cpp
+++ b/src/packet/packet_directory.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Duration pauseThreshold = 300ms; ///< A longer time between two ticks: the process was suspended, so messages may wait in its socket.
+    constexpr Duration judgingTime = 300ms; ///< By then an upstream that has started with its agent has reported, and rules tell its cold time.
     constexpr Duration registrationRequestPeriod = 300ms; ///< Time between two requests to agents that have not registered their flows.
     constexpr Duration denialWindow = 3s; ///< Callers repeat a packet without an answer after 200 to 1,600 ms.
     constexpr Duration registrationTime = 100ms; ///< Within this time after its opening, a second owner may not be listed yet.
@@ -17,7 +18,8 @@
 
 RegistrarIdentity PacketAgent::registrarIdentity(TimePoint now) const
 {
-    return { this->serviceHash, this->settings.address, this->peers.self().incarnation, !this->mayUpstreamHoldUnknownFlows(now) };
+    const bool isJudged = (this->latestReport && this->follower.hasRules()) || this->hasUpstreamSentOwnPacket || now - this->settings.startedAt >= judgingTime;
+    return { this->serviceHash, this->settings.address, this->peers.self().incarnation, !this->mayUpstreamHoldUnknownFlows(now), isJudged };
 }
 
 /** Registers a flow that the upstream holds. */
@@ -123,7 +125,7 @@
     if (!this->settings.hasFlowDirectory || !this->peers.synchronizedSince()) {
         return false;
     }
-    if (const auto running = this->searches.find(flow); running != this->searches.end()) {
+    if (const auto running = this->searches.find(flow); running != this->searches.end() && running->second.source != SearchSource::AllAgents) {
         running->second.packet = forwarded;
         running->second.isPacketSent = false;
         return true;
--- a/src/packet/packet_route.cpp
+++ b/src/packet/packet_route.cpp
@@ -13,10 +13,7 @@
 
     constexpr Duration ownerCacheTime = 10s; ///< Lifetime of a cached owner; each packet that is forwarded to it renews it.
     constexpr uint32_t firstAcknowledgementWindow = 1U << 16U; ///< Bytes that a caller's first acknowledgement may be ahead of the opening's answer.
-    constexpr size_t maximumHeldOpenings = 256; ///< Limits memory; an opening packet has 31 bytes.
-    constexpr Duration maximumHoldTime = 400ms; ///< Time between a caller's first and last retransmission.
     constexpr Duration confirmationTime = 1s; ///< A cached owner that has not reported for this long gets the next packet with a lookup.
-    constexpr Duration initialFetchInterval = 100ms; ///< Least time between two snapshot requests until the first rules arrive.
 
 } // namespace
 
@@ -175,109 +172,6 @@
     pushToUpstream(actions, packet);
 }
 
-/** Opens a flow, or reports the refusal to the balancer. */
-void PacketAgent::handleOpening(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
-{
-    if (!this->follower.hasRules()) {
-        this->holdOpening(now, forwarded, actions);
-        return;
-    }
-    if (this->isRoutedElsewhere(forwarded)) {
-        this->refuseRoutedElsewhere(now, forwarded, actions);
-        return;
-    }
-    const Obstacle obstacle = this->obstacle(now, segment);
-    const auto slots = static_cast<size_t>(this->peers.self().slots);
-    if (obstacle == Obstacle::None && (this->flowsAwaitingAnswer < slots || forwarded.isPlaced)) {
-        this->recordOpening(now, segment, OpeningResult::Accepted, obstacle);
-        this->openFlow(now, segment, forwarded, actions);
-        return;
-    }
-    OpeningResult result = OpeningResult::Refused;
-    if (obstacle == Obstacle::None) {
-        result = OpeningResult::Busy;
-    } else if (obstacle == Obstacle::QueueFull || obstacle == Obstacle::Reserved) {
-        result = OpeningResult::Full;
-    }
-    this->recordOpening(now, segment, result, obstacle);
-    this->count.add(Counter::FlowsRefused);
-    this->events.log(EventLevel::Info, "opening-passed",
-        {
-            { "flow", formatFlow(forwarded.packet.flow) },
-            { "reason", std::string(toText(obstacle)) },
-            { "busy", std::to_string(this->flowsAwaitingAnswer) },
-            { "slots", std::to_string(slots) },
-            { "revision", formatRevision(this->follower.revision()) },
-        });
-    this->reportOutcome(now, forwarded.packet.flow, result, forwarded.balancer, actions);
-}
-
-/** Reports the outcome of an opening packet to the balancer, with the current load and limit of this agent. */
-void PacketAgent::reportOutcome(TimePoint now, const FlowKey& flow, OpeningResult result, Address balancer, Actions& actions) const
-{
-    if (!balancer.isValid()) {
-        return;
-    }
-    const auto clamp = [](size_t number) { return static_cast<uint16_t>(std::min<size_t>(number, UINT16_MAX)); };
-    const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit(flow.service) : 0;
-    OpeningOutcome outcome { flow, this->settings.address, result, clamp(this->flowsAwaitingAnswer), this->peers.self().slots, clamp(limit) };
-    if (const auto reserved = this->priorityReserve.reportedLimit(now, this->room(limit)); reserved && reserved->requests < limit) {
-        outcome.reservedFrom = reserved->from;
-        outcome.reservedLimit = clamp(reserved->requests);
-    }
-    outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
-    outcome.service = this->serviceHash;
-    outcome.requests = this->outcomeWindow.counts(now);
-    actions.push_back(SendMessage { balancer, outcome });
-}
-
-/** Holds an opening packet until the first rules arrive, which are fetched from its balancer at once. */
-void PacketAgent::holdOpening(TimePoint now, const ForwardedPacket& forwarded, Actions& actions)
-{
-    if (forwarded.balancer.isValid() && now >= this->nextFetch) {
-        this->nextFetch = now + initialFetchInterval;
-        actions.push_back(FetchSnapshot { forwarded.balancer, { .includeMembers = true, .service = this->serviceHash } });
-    }
-    if (this->heldOpenings.size() < maximumHeldOpenings) {
-        this->heldOpenings.push_back({ now, forwarded });
-    }
-}
-
-/** Handles the held opening packets, but drops those whose retransmission is due. */
-void PacketAgent::releaseHeldOpenings(TimePoint now, Actions& actions)
-{
-    for (HeldOpening& opening : std::exchange(this->heldOpenings, {})) {
-        const std::optional<Segment> segment = this->codec.parse(opening.packet.packet.payload);
-        if (segment && now - opening.receivedAt < maximumHoldTime) {
-            this->handleOpening(now, *segment, opening.packet, actions);
-        }
-    }
-}
-
-void PacketAgent::openFlow(TimePoint now, const Segment& segment, const ForwardedPacket& forwarded, Actions& actions)
-{
-    PacketFlow& flow = this->flows[forwarded.packet.flow];
-    flow.createdAt = now;
-    flow.balancer = forwarded.balancer;
-    flow.home = forwarded.home;
-    flow.priority = this->priorityOf(forwarded.packet.flow.service);
-    this->forgetElsewhere(forwarded.packet.flow);
-    this->coldStartLimiter.recordOpening(now);
-    if (this->unansweredSince == TimePoint {}) {
-        this->unansweredSince = now;
-    }
-    this->count.add(Counter::FlowsOpened);
-    this->setAwaitingAnswer(now, flow, true);
-    this->events.log(EventLevel::Info, "flow-placed",
-        {
-            { "flow", formatFlow(forwarded.packet.flow) },
-            { "hops", std::to_string(forwarded.hops) },
-            { "busy", std::to_string(this->flowsAwaitingAnswer) },
-            { "revision", formatRevision(this->follower.revision()) },
-        });
-    this->deliverToUpstream(now, flow, segment, forwarded.packet.payload, actions);
-}
-
 /** True if the upstream may have opened this flow before this process started, and nothing is known of the flow here. */
 bool PacketAgent::mayUpstreamHold(TimePoint now, const FlowKey& flow) const
 {
--- a/tests/outlier_test.cpp
+++ b/tests/outlier_test.cpp
@@ -246,30 +246,35 @@
     CHECK_EQUAL(1, window.counts(now).failed);
 }
 
-TEST_GROUP(OutlierOffer) {
-    /** Openings of 900 that agent 0 of three gets while its reports are bad; the others' are good. */
-    static size_t offersOfIllAgent(uint32_t oneIn) {
-        Counters counters;
-NullEventSink events;
-OpeningTracker tracker(counters, events);
-tracker.configureOutliers({ .oneIn = oneIn });
-const std::vector<Address> agents { { 1, 7000 }, { 2, 7000 }, { 3, 7000 } };
-size_t offers = 0;
-for (uint16_t port = 1; port <= 900; ++port) {
-    const TimePoint now = 10s + port * 10ms;
-    ForwardedPacket forwarded { .packet = { .flow = { caller(port), packetService }, .mark = PacketMark::Opening }, .candidates = agents };
-    std::rotate(forwarded.candidates.begin(), forwarded.candidates.begin() + port % 3, forwarded.candidates.end());
-    Actions actions;
-    tracker.onOpening(now, std::move(forwarded), 0, actions);
-    const Address agent = std::get<SendMessage>(actions.front()).to;
-    offers += agent == agents[0] ? 1 : 0;
-    const RequestOutcomes requests = agent == agents[0] ? RequestOutcomes { 20, 20, 0, 50'000 } : RequestOutcomes { 40, 0, 40, 50'000 };
-    tracker.onOutcome(now, { { caller(port), packetService }, agent, OpeningResult::Accepted, 1, 2, 7, requests }, actions);
-}
-return offers;
-}
+namespace {
+
+/** Openings of 900 that agent 0 of three gets while its reports are bad; the others' are good. */
+size_t offersOfIllAgent(uint32_t oneIn)
+{
+    Counters counters;
+    NullEventSink events;
+    OpeningTracker tracker(counters, events);
+    tracker.configureOutliers({ .oneIn = oneIn });
+    const std::vector<Address> agents { { 1, 7000 }, { 2, 7000 }, { 3, 7000 } };
+    size_t offers = 0;
+    for (uint16_t port = 1; port <= 900; ++port) {
+        const TimePoint now = 10s + port * 10ms;
+        ForwardedPacket forwarded { .packet = { .flow = { caller(port), packetService }, .mark = PacketMark::Opening }, .candidates = agents };
+        std::rotate(forwarded.candidates.begin(), forwarded.candidates.begin() + port % 3, forwarded.candidates.end());
+        Actions actions;
+        tracker.onOpening(now, std::move(forwarded), 0, actions);
+        const Address agent = std::get<SendMessage>(actions.front()).to;
+        offers += agent == agents[0] ? 1 : 0;
+        const RequestOutcomes requests = agent == agents[0] ? RequestOutcomes { 20, 20, 0, 50'000 } : RequestOutcomes { 40, 0, 40, 50'000 };
+        const OpeningOutcome outcome { .flow = { caller(port), packetService }, .agent = agent, .result = OpeningResult::Accepted, .busy = 1, .slots = 2, .limit = 7, .requests = requests };
+        tracker.onOutcome(now, outcome, actions);
+    }
+    return offers;
 }
-;
+
+} // namespace
+
+TEST_GROUP(OutlierOffer) {};
 
 TEST(OutlierOffer, OpeningsGoPastAnOutlierIfTheSettingsAskForIt)
 {
