Settings for the reserve by priority, off unless asked for, and for held requests; the directory counts on a view after half a second

Cause: no queue place for the less urgent while more urgent openings came in the last 2 s, which in a rush is always. The reserve is a setting now, /admission/by_priority, default off. Held requests get a setting too, /admission/hold_requests, so that operators can compare. The directory's proof needs a view that was confirmed for half a second instead of a whole one: callers with 2 s lose less after a common start. The template renderer of the stand-ins leaves out a section without a value, as the platform does.

--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -40,6 +40,8 @@
                         .slots = settings.slots,
                         .reportPeriod = settings.reportPeriod,
                         .hasFlowDirectory = settings.hasFlowDirectory,
+                        .reservesByPriority = settings.reservesByPriority,
+                        .holdsRequests = settings.holdsRequests,
                         .startedAt = Process::now(),
                     },
                   this->codec, this->random, this->events)
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -140,7 +140,7 @@
         this->coldStartLimiter.assumeCold(now);
     }
     this->wasZoneDraining = isZoneDraining;
-    this->holdsRequests = this->doRulesHoldRequests();
+    this->holdsRequests = this->settings.holdsRequests && this->doRulesHoldRequests();
     this->updateTable();
 }
 
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -39,6 +39,8 @@
     Duration reportPeriod = 1s; ///< Expected interval between two reports of the upstream.
     Duration flowIdleTimeout = 60s; ///< A flow without a packet for longer than this may be forgotten.
     bool hasFlowDirectory = false; ///< The agents of the service keep a directory of their flows.
+    bool reservesByPriority = true; ///< Room is kept for the openings of more urgent routes.
+    bool holdsRequests = true; ///< Requests on open flows wait while the upstream is full, where the rules ask for it.
     TimePoint startedAt {}; ///< When the process started.
 };
 
@@ -256,7 +258,7 @@
     void endRoundIfComplete(TimePoint now, const FlowKey& flow, Actions& actions);
     void beginSecondRound(TimePoint now, const FlowKey& flow, Search& search, Actions& actions);
     void declareFlowLost(TimePoint now, const FlowKey& flow, Actions& actions);
-    bool isViewComplete(TimePoint now) const;
+    bool isSynchronizedFor(TimePoint now, Duration time) const;
     bool mayReset(TimePoint now, const FlowKey& flow, SearchSource source);
     static std::string_view toText(SearchSource source);
     void tickSearches(TimePoint now, Actions& actions);
--- a/src/packet/packet_directory.cpp
+++ b/src/packet/packet_directory.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration pauseThreshold = 300ms; ///< A longer time between two ticks: the process was suspended, so messages may wait in its socket.
+    /** By then all agents that start together know each other: each announces itself every 100 ms. Callers with a time budget of 2 s still gain. */
+    constexpr Duration minimumSynchronizedTime = 500ms;
     constexpr Duration judgingTime = 300ms; ///< By then an upstream that has started with its agent has reported, and rules tell its cold time.
     constexpr Duration registrationRequestPeriod = 300ms; ///< Time between two requests to agents that have not registered their flows.
     constexpr Duration denialWindow = 3s; ///< Callers repeat a packet without an answer after 200 to 1,600 ms.
@@ -47,7 +49,7 @@
     const RegistrarIdentity identity = this->registrarIdentity(now);
     this->directory.setKnowsAllFlows(identity.knowsAllFlows);
     this->registrar.tick(now, identity, actions);
-    for (const DirectoryAnswer& answer : this->directory.tick(now, this->directoryMembers, this->isViewComplete(now))) {
+    for (const DirectoryAnswer& answer : this->directory.tick(now, this->directoryMembers, this->isSynchronizedFor(now, minimumSynchronizedTime))) {
         this->sendDirectoryAnswer(now, answer, actions);
     }
     for (DirectoryResult& result : this->directoryLookups.tick(now, this->serviceHash, this->settings.address, actions)) {
--- a/src/packet/packet_priority.cpp
+++ b/src/packet/packet_priority.cpp
@@ -45,7 +45,8 @@
         this->count.add(counterOf(Counter::OpeningsTakenPriority0, priority));
     }
     // A busy agent is offered the opening again if no other takes it; a retransmission was counted at its original.
-    if (result == OpeningResult::Accepted || (result == OpeningResult::Full && opening.acknowledged == 0)) {
+    const bool isNewArrival = result == OpeningResult::Accepted || (result == OpeningResult::Full && opening.acknowledged == 0);
+    if (this->settings.reservesByPriority && isNewArrival) {
         this->priorityReserve.recordArrival(now, priority);
     }
 }
--- a/src/packet/packet_search.cpp
+++ b/src/packet/packet_search.cpp
@@ -205,11 +205,11 @@
     this->queryPeers(flow, search, actions);
 }
 
-/** True if this agent knows all others of the service. */
-bool PacketAgent::isViewComplete(TimePoint now) const
+/** True if a balancer has confirmed this agent's view of the service for at least @p time. */
+bool PacketAgent::isSynchronizedFor(TimePoint now, Duration time) const
 {
     const std::optional<TimePoint> since = this->peers.synchronizedSince();
-    return since && now - *since >= minimumSynchronizedTime;
+    return since && now - *since >= time;
 }
 
 /** True if a flow that was denied may be reset. */
@@ -217,7 +217,7 @@
 {
     switch (source) {
     case SearchSource::AllAgents:
-        return this->isViewComplete(now) && !this->peers.hasRecentlyLostAgents(now, lostMemberWindow);
+        return this->isSynchronizedFor(now, minimumSynchronizedTime) && !this->peers.hasRecentlyLostAgents(now, lostMemberWindow);
     case SearchSource::DirectoryEntry:
         return this->isDeniedAgain(now, flow);
     case SearchSource::DirectoryProof:
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -218,6 +218,20 @@
             .help = "Callers of opaque flows receive packets on the port of this address; required with /upstream/packets",
             .requiredWith = "/upstream/packets",
         },
+        SettingDescription {
+            .path = "/admission/by_priority",
+            .kind = SettingKind::Choice,
+            .defaultValue = "off",
+            .choices = "off|on",
+            .help = "on: room of the upstream is kept for openings of more urgent routes, where the rules state priorities",
+        },
+        SettingDescription {
+            .path = "/admission/hold_requests",
+            .kind = SettingKind::Choice,
+            .defaultValue = "on",
+            .choices = "off|on",
+            .help = "on: requests on open flows wait at the agent while the upstream is full, where the rules state time-outs or priorities",
+        },
         SettingDescription {
             .path = "/flow_directory",
             .kind = SettingKind::Choice,
--- a/tools/lib/platform_standins.py
+++ b/tools/lib/platform_standins.py
@@ -297,8 +297,15 @@
             scope = scope[int(part)] if isinstance(scope, list) else scope[part]
         return scope
 
+    def optional_value(path):
+        try:
+            return value(path, fields)
+        except (KeyError, IndexError):
+            return None
+
     def section(match):
-        entries = value(match[1], fields)
+        found = optional_value(match[1])
+        entries = found if isinstance(found, list) else [found] if found else []
         separators = [","] * (len(entries) - 1) + [""]
         parts = (match[2].replace("{{.|json}}", json.dumps(entry)) for entry in entries)
         return "".join(part.replace("{{,}}", separator) for part, separator in zip(parts, separators))
@@ -348,6 +355,7 @@
             "internalPorts": [self.internal_port, self.internal_port],
             "seeds": [f"127.1.0.1:{self.control_port}"],
             "heartbeatMs": int(HEARTBEAT_SECONDS * 1000),
+            "limits": {"linkMbps": 1000.0},
             "platform": {"address": self.store_address},
         }
 
