--- a/src/packet/flow_registrar.cpp
+++ b/src/packet/flow_registrar.cpp
@@ -97,7 +97,7 @@
     });
 }
 
-void FlowRegistrar::onReply(TimePoint /*now*/, const FlowRegistrationReply& reply)
+void FlowRegistrar::onReply(const FlowRegistrationReply& reply)
 {
     const auto found = this->channels.find(reply.responder);
     if (found == this->channels.end() || reply.incarnation < found->second.incarnation) {
--- a/src/packet/flow_registrar.h
+++ b/src/packet/flow_registrar.h
@@ -35,7 +35,7 @@
     void remove(const FlowKey& flow) { this->flows.erase(flow); }
 
     /** Handles the reply of a directory agent, or its request for a registration. */
-    void onReply(TimePoint now, const FlowRegistrationReply& reply);
+    void onReply(const FlowRegistrationReply& reply);
 
     /** Sends what is due. */
     void tick(TimePoint now, const RegistrarIdentity& identity, Actions& actions);
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -81,7 +81,7 @@
     } else if (const auto* registration = std::get_if<FlowRegistration>(&message)) {
         this->handle(now, *registration, actions);
     } else if (const auto* registrationReply = std::get_if<FlowRegistrationReply>(&message)) {
-        this->registrar.onReply(now, *registrationReply);
+        this->registrar.onReply(*registrationReply);
     } else if (const auto* directoryQuery = std::get_if<DirectoryQuery>(&message)) {
         this->handle(now, *directoryQuery, actions);
     } else if (const auto* directoryReply = std::get_if<DirectoryReply>(&message)) {
--- a/src/packet/packet_agent_status.cpp
+++ b/src/packet/packet_agent_status.cpp
@@ -14,6 +14,8 @@
             { "requests_in_flight", this->flowsAwaitingAnswer },
             { "requests_held", this->requestQueue.size() },
             { "held_bytes", this->requestQueue.bytes() },
+            { "directory_flows", this->directory.flowCount() },
+            { "registrations_pending", this->registrar.pendingCount() },
             { "revision", this->follower.revision().position.number },
             { "era", this->follower.revision().position.era },
         },
