--- a/src/packet/packet_directory.cpp
+++ b/src/packet/packet_directory.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr Duration pauseThreshold = 300ms; ///< A longer time between two ticks: the process was suspended, so messages may wait in its socket.
-    /** By then all agents that start together know each other: each announces itself every 100 ms. Callers with a time budget of 2 s still gain. */
+    /** By then all agents that start together know each other: each announces itself every 100 ms. Callers with a timeout of 2 s still gain. */
     constexpr Duration minimumSynchronizedTime = 500ms;
     constexpr Duration judgingTime = 300ms; ///< By then an upstream that has started with its agent has reported, and rules tell its cold time.
     constexpr Duration registrationRequestPeriod = 300ms; ///< Time between two requests to agents that have not registered their flows.
--- a/src/packet/packet_hold.cpp
+++ b/src/packet/packet_hold.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-    constexpr Duration defaultPlaceTime = 2s; ///< A request without an answer keeps its place for this long if the route states no time budget.
+    constexpr Duration defaultPlaceTime = 2s; ///< A request without an answer keeps its place for this long if the route states no timeout.
     constexpr uint16_t packetsInFlight = 16; ///< Of a caller, at most. A request of more is still on its way to the upstream.
     constexpr Duration logInterval = 1s; ///< Between two requests-held events.
 
 } // namespace
 
-/** True if the rules state a priority or a time budget on a route of the service: then requests on its open flows may be held. */
+/** True if the rules state a priority or a timeout on a route of the service: then requests on its open flows may be held. */
 bool PacketAgent::doRulesHoldRequests() const
 {
     const Configuration& configuration = this->follower.current();
--- a/src/packet/request_queue.cpp
+++ b/src/packet/request_queue.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    constexpr Duration holdWithoutBudget = 150ms; ///< Unknown time budget: shorter than the time until a caller's first retransmission.
+    constexpr Duration holdWithoutBudget = 150ms; ///< Unknown timeout: shorter than the time until a caller's first retransmission.
     constexpr size_t maximumPacketBytes = 2048; ///< No packet has more.
     constexpr Duration trip = 20ms; ///< Of the latency goal: the packet's way here, and the answer's way back.
-    constexpr Duration leaveMargin = 70ms; ///< Of the time budget: the trip, and the time until the next tick.
+    constexpr Duration leaveMargin = 70ms; ///< Of the timeout: the trip, and the time until the next tick.
     constexpr Duration upstreamQueueTime = 20ms; ///< Work that the upstream keeps queued, so that a delay of this agent leaves no slot idle.
     constexpr size_t maximumQueuedPerSlot = 3; ///< Upstreams queue some four requests a slot.
 
@@ -39,7 +39,7 @@
 }
 
 /**
- * A request is held only if its answer can be expected within the route's goal (without one, within the time budget): elsewhere
+ * A request is held only if its answer can be expected within the route's goal (without one, within the timeout): elsewhere
  * there may be room, where a caller who is told so at once is served in time.
  */
 RequestAdmission RequestQueue::admit(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load) const
