Openings: a caller's last chance may queue as long as it can be answered in time

Cold upstreams are full with originals, which may queue, while retransmissions take free slots only, the last one too, after which the route's timeout leaves no time for another attempt.

Change: OpeningLimits, a module of its own, tells by copy, goal and timeout how long the queue may be. A copy that no other packet of the caller can follow in time is admitted as long as it can be answered within the timeout. OpeningOutcome carries that limit, so that balancers offer it where originals find no place. The agent's request queue counts the time that the caller spent before its flow opened. The wire version rises, as OpeningOutcome has one more field. opening-passed and opening-deferred name the copy.

--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -75,6 +75,7 @@
                 {
                     { "flow", formatFlow(opening.packet.flow) },
                     { "reason", "queues_full" },
+                    { "copies", std::to_string(opening.copies) },
                 });
         } else {
             this->refuseIfOpening(now, opening.packet, "no_agent_takes_it", actions);
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -1,6 +1,7 @@
 /** @file opening_tracker.cpp Sends offers of opening packets and handles their outcomes and timeouts. */
 #include "balancer/opening_tracker.h"
 
+#include "packet/opening_limit.h"
 #include "packet/segment_base.h"
 
 #include <algorithm>
@@ -116,7 +117,7 @@
     for (size_t index = 0; index < candidates.size(); ++index) {
         const uint32_t bit = 1U << index;
         const AgentLoad* load = this->recentLoad(now, candidates[index]);
-        const bool hasNoFreeSlot = load != nullptr && load->busy >= std::min(load->slots, load->limitFor(opening.needs.priority));
+        const bool hasNoFreeSlot = load != nullptr && load->busy >= std::min(load->slots, load->limitFor(opening));
         opening.hasBusyAgent = opening.hasBusyAgent || (hasNoFreeSlot && load->limit != 0);
         if ((opening.slotOfferMask & bit) != 0 || hasNoFreeSlot || (opening.hasBusyAgent && this->avoided.contains(candidates[index]))) {
             continue;
@@ -142,7 +143,7 @@
         const auto known = this->loads.find(candidates[index]);
         const bool hadSlotOffer = (opening.slotOfferMask & 1U << index) != 0;
         const AgentLoad* load = hadSlotOffer && known != this->loads.end() ? &known->second : this->recentLoad(now, candidates[index]);
-        const bool isUsable = load != nullptr && load->busy < load->limitFor(opening.needs.priority) && !isOverTimeout(*load, opening.needs) && (opening.queueOfferMask & 1U << index) == 0
+        const bool isUsable = load != nullptr && load->busy < load->limitFor(opening) && !isOverTimeout(*load, opening.needs) && (opening.queueOfferMask & 1U << index) == 0
             && !this->avoided.contains(candidates[index]) && !this->outliers.isAside(opening.packet.service, candidates[index]);
         // Compares busy / slots, the requests per slot, without a division.
         if (isUsable && (shortest == nullptr || load->busy * shortest->slots < shortest->busy * load->slots)) {
@@ -188,6 +189,14 @@
     this->refused.push_back({ opening.packet.packet, opening.hasBusyAgent, areCopiesExhausted, opening.copy + 1, this->isUnservable(opening) });
 }
 
+uint16_t OpeningTracker::AgentLoad::limitFor(const Opening& opening) const
+{
+    if (isLastChance(opening.copy, opening.needs.timeout)) {
+        return this->lastChanceLimit;
+    }
+    return this->reservedFrom != 0 && opening.needs.priority >= this->reservedFrom ? this->reservedLimit : this->limit;
+}
+
 std::optional<Duration> OpeningTracker::AgentLoad::answerTime() const
 {
     if (this->processingTime == Duration::zero() || this->slots == 0) {
@@ -246,7 +255,7 @@
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
 {
     this->avoided.erase(outcome.agent);
-    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now, outcome.reservedFrom, outcome.reservedLimit, std::chrono::milliseconds(outcome.processingMs) };
+    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now, outcome.reservedFrom, outcome.reservedLimit, std::chrono::milliseconds(outcome.processingMs), outcome.lastChanceLimit };
     const auto found = this->openings.find(outcome.flow);
     if (found == this->openings.end()) {
         return;
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -117,9 +117,10 @@
         uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
         uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
         Duration processingTime {}; ///< Mean time that the upstream works on one request; zero if unknown.
+        uint16_t lastChanceLimit = 0; ///< Like limit, for a caller's last chance.
 
-        /** Requests at the upstream from which on the agent accepts no new flow of this priority. */
-        uint16_t limitFor(uint8_t priority) const { return this->reservedFrom != 0 && priority >= this->reservedFrom ? this->reservedLimit : this->limit; }
+        /** Requests at the upstream from which on the agent does not accept this opening. */
+        uint16_t limitFor(const Opening& opening) const;
 
         /** Expected time until one more request is answered; none if the processing time is unknown. */
         std::optional<Duration> answerTime() const;
--- /dev/null
+++ b/src/packet/opening_limit.cpp
@@ -0,0 +1,80 @@
+/** @file opening_limit.cpp Queue limits by the latency goal for originals, and by the time left for a caller's last chance. */
+#include "packet/opening_limit.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lavender {
+
+namespace {
+
+    constexpr std::array<Duration, 3> copyTimes { 0ms, 200ms, 600ms }; ///< When a caller sends its original and the copies of an opening packet.
+    constexpr Duration attemptTime = 1400ms; ///< From the original to the end of an attempt without an answer, after which a caller may open another flow.
+    constexpr Duration answerAllowance = 100ms; ///< Least time in which a caller's next packet can lead to an answer.
+    constexpr Duration handshakeAllowance = 20ms; ///< Of the caller's time: three trips between caller and upstream, and the balancer.
+    constexpr size_t defaultLimitHalves = 5; ///< Requests per two slots if the latency goal or the processing time is unknown.
+    constexpr size_t lastChancePerSlot = 3; ///< Requests per slot for a caller's last chance if the processing time is unknown.
+    constexpr size_t maximumRequestsPerSlot = 4; ///< Whatever the latency goal: upstreams return opening packets beyond that.
+
+    /** Time in which a request has to get a slot, so that it is answered within @p time. Half of all requests take longer than the mean; 4/3 of it covers most. */
+    Duration queueTimeWithin(Duration time, Duration processing) { return time - handshakeAllowance - processing * 4 / 3; }
+
+    /** Slots and the queue places that are worked off within @p queueTime. */
+    size_t placesWithin(Duration queueTime, Duration processing, size_t slots)
+    {
+        const auto queued = static_cast<size_t>(queueTime * static_cast<int64_t>(slots) / std::max<Duration>(processing, 1ms));
+        return std::min(slots + queued, slots * maximumRequestsPerSlot);
+    }
+
+} // namespace
+
+Duration openingAge(uint32_t copy)
+{
+    return copyTimes[std::min<size_t>(copy, copyTimes.size() - 1)];
+}
+
+bool isLastChance(uint32_t copy, std::optional<Duration> timeout)
+{
+    const Duration next = copy + 1 < copyTimes.size() ? copyTimes[copy + 1] : attemptTime;
+    return timeout && next + answerAllowance > *timeout;
+}
+
+size_t OpeningLimits::ofOriginal() const
+{
+    const size_t byDefault = this->slots * defaultLimitHalves / 2;
+    if (!this->goal || !this->processing) {
+        return byDefault;
+    }
+    const Duration queueTime = queueTimeWithin(*this->goal, *this->processing);
+    if (queueTime < Duration::zero()) {
+        // Perhaps no upstream is fast enough for the goal: then the default limit holds. One that was fast enough and has slowed
+        // down gets one original opening at a time, which measures whether it has recovered. Other originals go to other agents;
+        // retransmissions still take free slots here.
+        return this->hasSlowedDown ? 1 : byDefault;
+    }
+    return placesWithin(queueTime, *this->processing, this->slots);
+}
+
+/**
+ * A retransmission takes only a free slot, as its answer will be late in any case and the caller's next packet may find one. One
+ * that no other packet follows in time gets a place as long as it can be answered before the caller gives up: it may then be behind
+ * originals, and ahead of others that have copies left.
+ */
+size_t OpeningLimits::ofCopy(uint32_t copy) const
+{
+    if (copy == 0) {
+        return this->ofOriginal();
+    }
+    return isLastChance(copy, this->timeout) ? this->ofLastChance(copy) : this->slots;
+}
+
+size_t OpeningLimits::ofLastChance(uint32_t copy) const
+{
+    if (!this->processing) {
+        return this->slots * lastChancePerSlot;
+    }
+    const Duration queueTime = queueTimeWithin(*this->timeout - openingAge(copy), *this->processing);
+    return queueTime < Duration::zero() ? this->slots : placesWithin(queueTime, *this->processing, this->slots);
+}
+
+} // namespace lavender
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -11,9 +11,6 @@
     constexpr size_t minimumUnansweredProbes = 3; ///< Probes without any answer until the upstream counts as absent; a single one may be lost.
     constexpr Duration minimumUnansweredTime = 300ms; ///< From the first probe until an upstream without any answer counts as absent.
     constexpr Duration maximumSilence = 1900ms; ///< The address of an upstream that ended may belong to another one after 2 s.
-    constexpr size_t defaultLimitHalves = 5; ///< Requests per two slots if the latency goal or the processing time is unknown.
-    constexpr size_t maximumRequestsPerSlot = 4; ///< Whatever the latency goal: upstreams return opening packets beyond that.
-    constexpr Duration handshakeAllowance = 20ms; ///< Of the latency goal: three trips between caller and upstream, and the balancer.
 
 } // namespace
 
@@ -76,14 +73,11 @@
     return this->coldStartLimiter.mayOpen(now) ? Obstacle::None : Obstacle::Cold;
 }
 
-/**
- * Why this opening packet is not admitted now. An original may be queued; a retransmission takes only a free slot, as its
- * answer will be late in any case.
- */
+/** Why this opening packet is not admitted now. */
 PacketAgent::Obstacle PacketAgent::obstacle(TimePoint now, const Segment& opening) const
 {
     const Address service = opening.flowOfCaller().service;
-    const size_t limit = opening.acknowledged == 0 ? this->queueLimit(service) : this->peers.self().slots;
+    const size_t limit = this->openingLimits(service).ofCopy(opening.acknowledged);
     const Obstacle obstacle = this->obstacle(now);
     if (obstacle != Obstacle::None) {
         return obstacle;
@@ -96,29 +90,22 @@
 }
 
 /**
- * Number of requests at the upstream from which on no further opening packet is queued. Its answer and all later ones would
- * miss the service's latency goal, while the caller's retransmission may find a shorter queue.
+ * What bounds the upstream's queue for openings.
  * @param service Address of the service that the caller opened the flow to.
  */
-size_t PacketAgent::queueLimit(Address service) const
+OpeningLimits PacketAgent::openingLimits(Address service) const
 {
-    const size_t slots = this->peers.self().slots;
-    const auto& routes = this->follower.current().routes;
-    const auto route = routes.find(service);
-    const std::optional<Duration> processing = this->processingTime.mean();
-    if (route == routes.end() || !route->second.latencyGoal || !processing) {
-        return slots * defaultLimitHalves / 2;
-    }
-    // Half of all requests take longer than the mean; 4/3 of the mean covers most of them.
-    const Duration queueTime = *route->second.latencyGoal - handshakeAllowance - *processing * 4 / 3;
-    if (queueTime < Duration::zero()) {
-        // Perhaps no upstream is fast enough for the goal: then the default limit holds. One that was fast enough and has slowed
-        // down gets one original opening at a time, which measures whether it has recovered. Other originals go to other agents;
-        // retransmissions still take free slots here.
-        return this->processingTime.hasSlowedDown() ? 1 : slots * defaultLimitHalves / 2;
-    }
-    const auto queuePlaces = static_cast<size_t>(queueTime * static_cast<int64_t>(slots) / std::max<Duration>(*processing, 1ms));
-    return std::min(slots + queuePlaces, slots * maximumRequestsPerSlot);
+    const RouteRule* route = this->findRoute(service);
+    OpeningLimits limits {
+        .slots = this->peers.self().slots,
+        .processing = this->processingTime.mean(),
+        .hasSlowedDown = this->processingTime.hasSlowedDown(),
+    };
+    if (route != nullptr) {
+        limits.goal = route->latencyGoal;
+        limits.timeout = route->timeout;
+    }
+    return limits;
 }
 
 /** Name of an obstacle in events. */
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -11,6 +11,7 @@
 #include "packet/directory_lookup.h"
 #include "packet/flow_directory.h"
 #include "packet/flow_registrar.h"
+#include "packet/opening_limit.h"
 #include "packet/outcome_window.h"
 #include "packet/packet_flow.h"
 #include "packet/priority_reserve.h"
@@ -162,7 +163,7 @@
     bool isUpstreamAbsent(TimePoint now) const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
-    size_t queueLimit(Address service) const;
+    OpeningLimits openingLimits(Address service) const;
 
     // packet_priority.cpp
     uint8_t priorityOf(Address service) const;
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -59,6 +59,7 @@
     Address searcher; ///< Agent that searches for the flow and waits for the result of the probe; not valid if there is none.
     std::vector<ServiceEntry> otherServices; ///< Of the packet that was sent as a probe: where it goes if the flow is not in this service.
     uint8_t servicePasses = 0; ///< Of the packet that was sent as a probe: times that it has passed to another service.
+    Duration openingAge {}; ///< How long the caller had waited when it sent the opening packet that was taken; zero after the first answer.
     TimePoint createdAt {}; ///< When this entry was made: for an opening packet, a probe, or the upstream's first packet of a flow that was unknown here.
     TimePoint awaitingSince {}; ///< When isAwaitingAnswer was last set or cleared.
     TimePoint lastPacketAt {}; ///< When the latest packet of either end passed.
--- a/src/packet/packet_hold.cpp
+++ b/src/packet/packet_hold.cpp
@@ -102,16 +102,16 @@
         return false;
     }
     this->releaseRequests(now, actions);
-    const RouteRule* route = this->findRoute(key.service);
+    const RequestTerms terms { this->findRoute(key.service), flow.openingAge };
     const UpstreamLoad load = this->upstreamLoad();
-    switch (this->requestQueue.admit(now, key, route, load)) {
+    switch (this->requestQueue.admit(now, key, terms, load)) {
     case RequestAdmission::Send:
         return false;
     case RequestAdmission::Hold:
         this->count.add(Counter::RequestsHeld);
         flow.lastPacketAt = now;
         this->setAwaitingAnswer(now, flow, true);
-        this->requestQueue.hold(now, key, route, load, { segment.sequence, packet });
+        this->requestQueue.hold(now, key, terms, load, { segment.sequence, packet });
         return true;
     case RequestAdmission::PassOn:
         this->count.add(Counter::RequestsPassedOn);
--- a/src/packet/packet_opening.cpp
+++ b/src/packet/packet_opening.cpp
@@ -43,7 +43,8 @@
     this->events.log(EventLevel::Info, "opening-passed",
         {
             { "flow", formatFlow(forwarded.packet.flow) },
-            { "reason", std::string(toText(obstacle)) },
+            { "reason", obstacle == Obstacle::None ? "no_free_slot" : std::string(toText(obstacle)) },
+            { "copy", std::to_string(segment.acknowledged) },
             { "busy", std::to_string(this->flowsAwaitingAnswer) },
             { "slots", std::to_string(slots) },
             { "revision", formatRevision(this->follower.revision()) },
@@ -58,12 +59,15 @@
         return;
     }
     const auto clamp = [](size_t number) { return static_cast<uint16_t>(std::min<size_t>(number, UINT16_MAX)); };
-    const size_t limit = this->obstacle(now) == Obstacle::None ? this->queueLimit(flow.service) : 0;
+    const bool takesFlows = this->obstacle(now) == Obstacle::None;
+    const OpeningLimits limits = this->openingLimits(flow.service);
+    const size_t limit = takesFlows ? limits.ofOriginal() : 0;
     OpeningOutcome outcome { flow, this->settings.address, result, clamp(this->flowsAwaitingAnswer), this->peers.self().slots, clamp(limit) };
     if (const auto reserved = this->priorityReserve.reportedLimit(now, this->room(limit)); reserved && reserved->requests < limit) {
         outcome.reservedFrom = reserved->from;
         outcome.reservedLimit = clamp(reserved->requests);
     }
+    outcome.lastChanceLimit = takesFlows ? clamp(limits.ofCopy(lastOpeningRetransmission)) : 0;
     outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
     outcome.service = this->serviceHash;
     outcome.requests = this->outcomeWindow.counts(now);
@@ -100,6 +104,7 @@
     flow.balancer = forwarded.balancer;
     flow.home = forwarded.home;
     flow.priority = this->priorityOf(forwarded.packet.flow.service);
+    flow.openingAge = openingAge(segment.acknowledged);
     this->forgetElsewhere(forwarded.packet.flow);
     this->coldStartLimiter.recordOpening(now);
     if (this->unansweredSince == TimePoint {}) {
--- a/src/packet/packet_priority.cpp
+++ b/src/packet/packet_priority.cpp
@@ -55,7 +55,7 @@
 void PacketAgent::logReserved(TimePoint now, const FlowKey& flow) const
 {
     const uint8_t priority = this->priorityOf(flow.service);
-    const size_t limit = this->queueLimit(flow.service);
+    const size_t limit = this->openingLimits(flow.service).ofOriginal();
     const std::optional<Duration> processingTime = this->processingTime.mean();
     this->events.log(EventLevel::Info, "opening-reserved",
         {
--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -74,6 +74,7 @@
             this->answerLatencies.add(now - flow.awaitingSince);
         }
         this->setAwaitingAnswer(now, flow, false);
+        flow.openingAge = {};
     }
     flow.hasUpstreamFinished = flow.hasUpstreamFinished || segment.isFinishing;
     if (segment.isReset || (flow.hasCallerFinished && flow.hasUpstreamFinished)) {
--- a/src/packet/request_queue.cpp
+++ b/src/packet/request_queue.cpp
@@ -27,44 +27,54 @@
     return this->slots + std::clamp(queued, fewest, std::max(fewest, this->slots * maximumQueuedPerSlot));
 }
 
+std::optional<Duration> RequestTerms::answerTime() const
+{
+    if (this->route == nullptr) {
+        return std::nullopt;
+    }
+    const bool isGoalOpen = this->route->latencyGoal && *this->route->latencyGoal > this->spent;
+    const std::optional<Duration>& time = isGoalOpen ? this->route->latencyGoal : this->route->timeout;
+    return time ? std::optional(*time - this->spent) : std::nullopt;
+}
+
 /** A request leaves when the time that is left is only twice the mean processing time, as half of all requests take longer than the mean. */
-RequestQueue::Rank RequestQueue::rankOf(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load)
+RequestQueue::Rank RequestQueue::rankOf(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load)
 {
+    const RouteRule* route = terms.route;
     const uint8_t priority = route == nullptr ? 0 : route->priority;
     if (route == nullptr || !route->timeout) {
         return { priority, now + holdWithoutBudget, flow };
     }
     const Duration reserve = leaveMargin + load.processing.value_or(Duration::zero()) * 2;
-    return { priority, now + std::max<Duration>(*route->timeout - reserve, Duration::zero()), flow };
+    return { priority, now + std::max<Duration>(*route->timeout - terms.spent - reserve, Duration::zero()), flow };
 }
 
 /**
- * A request is held only if its answer can be expected within the route's goal (without one, within the timeout): elsewhere
+ * A request is held only if its answer can be expected within the route's goal, or within the timeout if there is no goal or it has passed: elsewhere
  * there may be room, where a caller who is told so at once is served in time.
  */
-RequestAdmission RequestQueue::admit(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load) const
+RequestAdmission RequestQueue::admit(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load) const
 {
     if (load.hasPlace()) {
         return RequestAdmission::Send;
     }
-    const Rank rank = rankOf(now, flow, route, load);
+    const Rank rank = rankOf(now, flow, terms, load);
     if (rank.leaveBy <= now || this->requests.size() >= maximumRequests || this->heldBytes + maximumPacketBytes > maximumBytes) {
         return RequestAdmission::PassOn;
     }
-    const std::optional<Duration> goal = route == nullptr ? std::nullopt : route->latencyGoal ? route->latencyGoal
-                                                                                              : route->timeout;
-    if (!goal || !load.processing) {
+    const std::optional<Duration> answerTime = terms.answerTime();
+    if (!answerTime || !load.processing) {
         return RequestAdmission::Hold;
     }
     const auto ahead = load.pending + static_cast<size_t>(std::distance(this->order.begin(), this->order.lower_bound(rank)));
     const Duration wait = *load.processing * static_cast<int64_t>(ahead) / static_cast<int64_t>(std::max<size_t>(load.slots, 1));
     // Half of all requests take longer than the mean; 4/3 of the mean covers most of them.
-    return wait + *load.processing * 4 / 3 + trip <= *goal ? RequestAdmission::Hold : RequestAdmission::PassOn;
+    return wait + *load.processing * 4 / 3 + trip <= *answerTime ? RequestAdmission::Hold : RequestAdmission::PassOn;
 }
 
-void RequestQueue::hold(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load, HeldPacket packet)
+void RequestQueue::hold(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load, HeldPacket packet)
 {
-    const Rank rank = rankOf(now, flow, route, load);
+    const Rank rank = rankOf(now, flow, terms, load);
     this->heldBytes += packet.packet.size();
     this->order.insert(rank);
     Request& request = this->requests[flow];
--- a/src/packet/request_queue.h
+++ b/src/packet/request_queue.h
@@ -28,6 +28,15 @@
     bool hasPlace() const { return this->placesTaken < this->places(); }
 };
 
+/** How soon a request has to be answered. */
+struct RequestTerms {
+    const RouteRule* route = nullptr; ///< Route of the flow; null if unknown.
+    Duration spent {}; ///< Of the route's goal and timeout, before the request arrived: the caller waited for its flow to open.
+
+    /** Time in which the answer has to come to be of use: the goal, or where it has passed or is not stated, the timeout. */
+    std::optional<Duration> answerTime() const;
+};
+
 /** What becomes of the first packet of a request. */
 enum class RequestAdmission : uint8_t {
     Send, ///< The upstream has a place for it.
@@ -61,11 +70,11 @@
  */
 class RequestQueue {
 public:
-    /** Decides on the first packet of a request that arrives now on flow @p flow, which is not held. @param route None if unknown. */
-    RequestAdmission admit(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load) const;
+    /** Decides on the first packet of a request that arrives now on flow @p flow, which is not held. */
+    RequestAdmission admit(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load) const;
 
     /** Holds the first packet of a request, after admit() said Hold. */
-    void hold(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load, HeldPacket packet);
+    void hold(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load, HeldPacket packet);
 
     /** Adds a later packet of a held flow, or replaces the held packet that it is a copy of. */
     FollowResult follow(const FlowKey& flow, HeldPacket packet);
@@ -103,7 +112,7 @@
         std::vector<HeldPacket> packets;
     };
 
-    static Rank rankOf(TimePoint now, const FlowKey& flow, const RouteRule* route, const UpstreamLoad& load);
+    static Rank rankOf(TimePoint now, const FlowKey& flow, const RequestTerms& terms, const UpstreamLoad& load);
 
     std::unordered_map<FlowKey, Request> requests;
     std::set<Rank> order; ///< Rank of each entry of requests.
--- a/src/wire/codec_func.h
+++ b/src/wire/codec_func.h
@@ -11,7 +11,7 @@
 
 namespace lavender {
 
-constexpr uint8_t wireVersion = 3; ///< First byte of every message and of every payload.
+constexpr uint8_t wireVersion = 4; ///< First byte of every message and of every payload.
 
 /** Encodes a message between processes of the system. */
 Bytes encodeMessage(const Message& message);
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -226,6 +226,7 @@
     uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
     uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
     uint32_t processingMs = 0; ///< Mean time that the upstream works on one request, rounded up; 0 if unknown.
+    uint16_t lastChanceLimit = 0; ///< Like limit, for the last copy of an opening whose caller can't be answered by a later packet.
     RequestOutcomes requests; ///< How the latest requests ended at the agent's upstream.
     uint64_t service = 0; ///< hashText of the name of the agent's service.
     bool isOpen = false; ///< Not an answer to an offer: the agent owns this flow, which was looked for in another service.
--- a/tests/packet_hold_test.cpp
+++ b/tests/packet_hold_test.cpp
@@ -176,15 +176,15 @@
     uint16_t port = 0;
     const auto add = [&] {
         const FlowKey flow { caller(++port), packetService };
-        const bool isHeld = queue.admit(10s, flow, &stream, load) == RequestAdmission::Hold;
+        const bool isHeld = queue.admit(10s, flow, { &stream }, load) == RequestAdmission::Hold;
         for (uint32_t part = 0; isHeld && part < 20; ++part) {
-            part == 0 ? queue.hold(10s, flow, &stream, load, { 1, Bytes(1231) }) : (void)queue.follow(flow, { part * 1200, Bytes(1231) });
+            part == 0 ? queue.hold(10s, flow, { &stream }, load, { 1, Bytes(1231) }) : (void)queue.follow(flow, { part * 1200, Bytes(1231) });
         }
         return isHeld;
     };
     while (add()) { }
     CHECK(queue.size() >= 15 && queue.size() <= 20); // The last one waits for some 300 ms.
-    CHECK(queue.admit(10s, { caller(port), HoldScene::serviceOf(7) }, &booking, load) == RequestAdmission::Hold);
+    CHECK(queue.admit(10s, { caller(port), HoldScene::serviceOf(7) }, { &booking }, load) == RequestAdmission::Hold);
     load.processing = std::nullopt;
     while (add()) { }
     CHECK(queue.bytes() <= RequestQueue::maximumBytes && queue.size() <= RequestQueue::maximumRequests);
