Outliers: a close that overtakes its answer is no failure

No balancer set one of them aside.

Cause: an upstream that answers in few packets sends its FIN with the data, and the FIN arrives first (0.2 ms, seen in every answer of `pesa` in a log of the packets). The agent took it for a request broken off. So nearly all requests of all upstreams counted as failed (0 finished, 30 to 60 failed in a second, healthy or not), and nobody stood out. Answers of 40 KB take longer than the FIN is early, so it worked at `archivio`. Ruled out: too few openings for a balancer's comparison (each saw every agent of its zone 4 times a second), reports that don't arrive, the confirmation time.

Change: the agent knows the sequence number after the upstream's data. A close with a higher one announces data that is on its way: the answer has begun. A close with the same one breaks the request off. Without the number, the request says nothing.

The test uses packets in that order; by the log above, the code before counts such an answer as failed.

--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -172,7 +172,7 @@
     void logReserved(TimePoint now, const FlowKey& flow) const;
     // packet_outcome.cpp
     void observeRequestPart(TimePoint now, PacketFlow& flow, const Segment& segment);
-    void observeUpstreamPacket(TimePoint now, const FlowKey& key, const PacketFlow& flow, const Segment& segment);
+    void observeUpstreamPacket(TimePoint now, const FlowKey& key, PacketFlow& flow, const Segment& segment);
     void tickOutcomes(TimePoint now);
 
     // packet_opening.cpp
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -53,6 +53,7 @@
     bool hasCallerFinished = false; ///< The caller has closed its end.
     bool hasUpstreamFinished = false; ///< The upstream has closed its end.
     uint32_t upstreamInitialSequence = 0; ///< Sequence number of the upstream's answer to the opening packet.
+    std::optional<uint32_t> upstreamEnd; ///< Sequence number after the upstream's data so far; none if unknown.
     uint32_t lastCallerAcknowledgement = 0; ///< Acknowledgement number in the caller's latest packet that had one.
     Address balancer; ///< Balancer that the opening packet came through; not valid if unknown.
     Address home; ///< First agent on the way of the flow's packets; it is told the owner if that is another agent.
--- a/src/packet/packet_outcome.cpp
+++ b/src/packet/packet_outcome.cpp
@@ -16,16 +16,31 @@
     this->outcomeWindow.onRequestPart(now, segment.flowOfCaller(), segment.dataBytes, flow.requestsAtArrival);
 }
 
-/** Observes a packet of the upstream. It may close its end after its answer or after its caller; before that it breaks the request off. */
-void PacketAgent::observeUpstreamPacket(TimePoint now, const FlowKey& key, const PacketFlow& flow, const Segment& segment)
+/**
+ * Observes a packet of the upstream. It may close its end after its answer or after its caller; before that it breaks the request off.
+ * Packets arrive in any order: the close may overtake the answer, and its sequence number shows the data that is still to come.
+ */
+void PacketAgent::observeUpstreamPacket(TimePoint now, const FlowKey& key, PacketFlow& flow, const Segment& segment)
 {
+    if (segment.isOpening && flow.stage == FlowStage::OpeningAnswered) {
+        flow.upstreamEnd = segment.sequence + 1;
+    }
     if (flow.stage != FlowStage::Open) {
         return;
     }
-    if (segment.dataBytes > 0) {
+    if (segment.isReset) {
+        if (!flow.hasCallerFinished) {
+            this->outcomeWindow.onBrokenOff(now, key);
+        }
+        return;
+    }
+    const uint32_t end = segment.sequence + segment.dataBytes;
+    const bool hasNewData = flow.upstreamEnd ? static_cast<int32_t>(end - *flow.upstreamEnd) > 0 : segment.dataBytes > 0;
+    if (hasNewData) {
+        flow.upstreamEnd = end;
         this->outcomeWindow.onAnswer(now, key, this->peers.self().slots);
-    } else if ((segment.isReset || segment.isFinishing) && !flow.hasCallerFinished) {
-        this->outcomeWindow.onBrokenOff(now, key);
+    } else if (segment.isFinishing && !flow.hasCallerFinished) {
+        flow.upstreamEnd ? this->outcomeWindow.onBrokenOff(now, key) : this->outcomeWindow.forget(key);
     }
 }
 
--- a/tests/outlier_test.cpp
+++ b/tests/outlier_test.cpp
@@ -304,3 +304,29 @@
     scene.advance(1100ms); // Request 4 is overdue.
     CHECK_EQUAL(1, requests(99).failed);
 }
+
+/** Pattern: short answers of which the close arrives first. Counted as broken off, they made every upstream look ill, so that none stood out. */
+TEST(OutlierOffer, AnAnswerWhoseCloseOvertakesItsDataEndsWell)
+{
+    PacketScene scene(0x0A010002, packetRules, 8);
+    const auto ask = [&scene](uint16_t port) {
+        scene.open(port);
+        scene.receive(makePacket(caller(port), packetService, AcknowledgingFlag, 1, 1001, 300));
+    };
+    const auto close = [&scene](uint16_t port, uint32_t sequence) {
+        scene.fromUpstream(makePacket(packetService, caller(port), AcknowledgingFlag | FinishingFlag, sequence, 301));
+    };
+    ask(1);
+    close(1, 1501);
+    scene.fromUpstream(makePacket(packetService, caller(1), AcknowledgingFlag, 1001, 301, 500));
+    ask(2);
+    close(2, 1001); // No data comes before this close.
+    ask(3);
+    scene.fromUpstream(makePacket(packetService, caller(3), AcknowledgingFlag, 1001, 301, 500));
+    close(3, 1501);
+    scene.receive(makePacket(caller(4), packetService, OpeningFlag));
+    scene.fromUpstream(makePacket(packetService, caller(4), OpeningFlag | AcknowledgingFlag, 1000, 1));
+    const RequestOutcomes requests = std::get<OpeningOutcome>(scene.actionsOf<SendMessage>().front()->message).requests;
+    CHECK_EQUAL(2, requests.finished);
+    CHECK_EQUAL(1, requests.failed);
+}
