--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -16,7 +16,7 @@
     OpeningNeeds needsOf(const Configuration& configuration, Address address)
     {
         const auto route = configuration.routes.find(address);
-        return route == configuration.routes.end() ? OpeningNeeds {} : OpeningNeeds { route->second.priority, route->second.timeout };
+        return route == configuration.routes.end() ? OpeningNeeds {} : OpeningNeeds { route->second.timeout };
     }
 
 } // namespace
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -191,10 +191,7 @@
 
 uint16_t OpeningTracker::AgentLoad::limitFor(const Opening& opening) const
 {
-    if (isLastChance(opening.copy, opening.needs.timeout)) {
-        return this->lastChanceLimit;
-    }
-    return this->reservedFrom != 0 && opening.needs.priority >= this->reservedFrom ? this->reservedLimit : this->limit;
+    return isLastChance(opening.copy, opening.needs.timeout) ? this->lastChanceLimit : this->limit;
 }
 
 std::optional<Duration> OpeningTracker::AgentLoad::answerTime() const
@@ -255,7 +252,7 @@
 void OpeningTracker::onOutcome(TimePoint now, const OpeningOutcome& outcome, Actions& actions)
 {
     this->avoided.erase(outcome.agent);
-    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now, outcome.reservedFrom, outcome.reservedLimit, std::chrono::milliseconds(outcome.processingMs), outcome.lastChanceLimit };
+    this->loads[outcome.agent] = { outcome.busy, outcome.slots, outcome.limit, now, std::chrono::milliseconds(outcome.processingMs), outcome.lastChanceLimit };
     const auto found = this->openings.find(outcome.flow);
     if (found == this->openings.end()) {
         return;
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -19,7 +19,6 @@
 
 /** What the route of an opening packet asks for. */
 struct OpeningNeeds {
-    uint8_t priority = 0; ///< 0 is the most urgent.
     std::optional<Duration> timeout; ///< How long the caller waits for the answer; unknown if not set.
 };
 
@@ -114,8 +113,6 @@
         uint16_t slots = 0; ///< Requests that the upstream runs at once.
         uint16_t limit = 0; ///< Requests at the upstream from which on the agent accepts no new flow; 0 if it accepts none at all.
         TimePoint reportedAt {}; ///< When the last outcome arrived.
-        uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
-        uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
         Duration processingTime {}; ///< Mean time that the upstream works on one request; zero if unknown.
         uint16_t lastChanceLimit = 0; ///< Like limit, for a caller's last chance.
 
--- a/src/core/counter_type.h
+++ b/src/core/counter_type.h
@@ -64,10 +64,6 @@
     OpeningsTakenPriority1,
     OpeningsTakenPriority2,
     OpeningsTakenPriority3,
-    OpeningsReservedPriority0, ///< Opening packets that this agent passed on to keep room for more urgent ones; by their priority as above, so 0 for priority 0.
-    OpeningsReservedPriority1,
-    OpeningsReservedPriority2,
-    OpeningsReservedPriority3,
     OutliersAside, ///< Agents set aside since their upstreams end more requests badly than others of their service.
     OutlierTrials, ///< Openings offered to agents while they were set aside.
     OpeningsRoutedElsewhere, ///< Opening packets that an agent refused: its rules, later than the balancer's, send them to other services.
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -40,7 +40,6 @@
                         .slots = settings.slots,
                         .reportPeriod = settings.reportPeriod,
                         .hasFlowDirectory = settings.hasFlowDirectory,
-                        .reservesByPriority = settings.reservesByPriority,
                         .holdsRequests = settings.holdsRequests,
                         .startedAt = Process::now(),
                     },
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -85,8 +85,7 @@
     if (this->flowsAwaitingAnswer >= limit) {
         return Obstacle::QueueFull;
     }
-    const bool isReserved = this->flowsAwaitingAnswer >= this->priorityReserve.limit(now, this->priorityOf(service), this->room(limit));
-    return isReserved ? Obstacle::Reserved : Obstacle::None;
+    return Obstacle::None;
 }
 
 /**
@@ -108,6 +107,15 @@
     return limits;
 }
 
+/** Counts an admitted opening by the priority of its route; without a route it is of the most urgent one. */
+void PacketAgent::countTaken(const Segment& opening)
+{
+    constexpr uint8_t lastCountedPriority = 3; // Less urgent ones are counted together with it.
+    const RouteRule* route = this->findRoute(opening.flowOfCaller().service);
+    const uint8_t priority = route == nullptr ? uint8_t { 0 } : std::min(route->priority, lastCountedPriority);
+    this->count.add(static_cast<Counter>(static_cast<uint8_t>(Counter::OpeningsTakenPriority0) + priority)); // The others follow it.
+}
+
 /** Name of an obstacle in events. */
 std::string_view PacketAgent::toText(Obstacle obstacle)
 {
@@ -132,8 +140,6 @@
         return "connections_full";
     case Obstacle::QueueFull:
         return "queue_full";
-    case Obstacle::Reserved:
-        return "kept_for_more_urgent";
     case Obstacle::Cold:
         return "upstream_cold";
     }
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -14,7 +14,6 @@
 #include "packet/opening_limit.h"
 #include "packet/outcome_window.h"
 #include "packet/packet_flow.h"
-#include "packet/priority_reserve.h"
 #include "packet/processing_time.h"
 #include "packet/refusal_backoff.h"
 #include "packet/request_queue.h"
@@ -42,7 +41,6 @@
     Duration reportPeriod = 1s; ///< Expected interval between two reports of the upstream.
     Duration flowIdleTimeout = 60s; ///< A flow without a packet for longer than this may be forgotten.
     bool hasFlowDirectory = false; ///< The agents of the service keep a directory of their flows.
-    bool reservesByPriority = true; ///< Room is kept for the openings of more urgent routes.
     bool holdsRequests = true; ///< Requests on open flows wait while the upstream is full, where the rules ask for it.
     TimePoint startedAt {}; ///< When the process started.
 };
@@ -140,7 +138,6 @@
         Refusing, ///< The upstream has returned opening packets; the backoff has not expired.
         Connections, ///< The connection limit of the service is reached.
         QueueFull, ///< The upstream's slots and queue are full.
-        Reserved, ///< The free room is kept for more urgent openings.
         Cold, ///< The cold upstream has had as many openings as its rate allows.
     };
 
@@ -168,11 +165,7 @@
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
     OpeningLimits openingLimits(Address service) const;
 
-    // packet_priority.cpp
-    uint8_t priorityOf(Address service) const;
-    UpstreamRoom room(size_t limit) const;
-    void recordOpening(TimePoint now, const Segment& opening, OpeningResult result, Obstacle obstacle);
-    void logReserved(TimePoint now, const FlowKey& flow) const;
+    void countTaken(const Segment& opening);
     // packet_outcome.cpp
     void observeRequestPart(TimePoint now, PacketFlow& flow, const Segment& segment);
     void observeUpstreamPacket(TimePoint now, const FlowKey& key, PacketFlow& flow, const Segment& segment);
@@ -315,7 +308,6 @@
     ColdStartLimiter coldStartLimiter;
     RefusalBackoff refusalBackoff;
     ProcessingTime processingTime;
-    PriorityReserve priorityReserve; ///< Room that is kept for more urgent openings.
     OutcomeWindow outcomeWindow;
     std::optional<UpstreamReport> latestReport; ///< Latest report that was accepted; none before the first.
     TimePoint latestReportAt {}; ///< When latestReport arrived.
--- a/src/packet/packet_flow.cpp
+++ b/src/packet/packet_flow.cpp
@@ -22,13 +22,7 @@
 {
     if (flow.isAwaitingAnswer != isAwaiting) {
         flow.isAwaitingAnswer = isAwaiting;
-        if (isAwaiting) {
-            ++this->flowsAwaitingAnswer;
-            this->priorityReserve.beginRequest(flow.priority);
-        } else {
-            --this->flowsAwaitingAnswer;
-            this->priorityReserve.endRequest(flow.priority);
-        }
+        this->flowsAwaitingAnswer = isAwaiting ? this->flowsAwaitingAnswer + 1 : this->flowsAwaitingAnswer - 1;
     }
     if (!isAwaiting && flow.requestsAtArrival != 0) {
         flow.requestsAtArrival = 0;
--- a/src/packet/packet_flow.h
+++ b/src/packet/packet_flow.h
@@ -3,7 +3,6 @@
 
 #include "core/address_type.h"
 #include "core/time_type.h"
-#include "packet/priority_reserve.h"
 #include "wire/message_type.h"
 
 #include <array>
@@ -41,7 +40,6 @@
 /** One flow at this agent's upstream. */
 struct PacketFlow {
     FlowStage stage = FlowStage::OpeningSent;
-    uint8_t priority = leastUrgentPriority; ///< Of the route that the flow was opened by; 0 is the most urgent.
     bool isAwaitingAnswer = false; ///< The flow was opened or its caller sent data, and the upstream has sent no data since.
     bool isUnclaimed = false; ///< The caller has not used the upstream's answer in time: the flow does not count against the connection limit.
     uint32_t callerEnd = 0; ///< Sequence number after the caller's latest data; data before it is a retransmission.
--- a/src/packet/packet_opening.cpp
+++ b/src/packet/packet_opening.cpp
@@ -28,17 +28,16 @@
     const Obstacle obstacle = this->obstacle(now, segment);
     const auto slots = static_cast<size_t>(this->peers.self().slots);
     if (obstacle == Obstacle::None && (this->flowsAwaitingAnswer < slots || forwarded.isPlaced)) {
-        this->recordOpening(now, segment, OpeningResult::Accepted, obstacle);
+        this->countTaken(segment);
         this->openFlow(now, segment, forwarded, actions);
         return;
     }
     OpeningResult result = OpeningResult::Refused;
     if (obstacle == Obstacle::None) {
         result = OpeningResult::Busy;
-    } else if (obstacle == Obstacle::QueueFull || obstacle == Obstacle::Reserved) {
+    } else if (obstacle == Obstacle::QueueFull) {
         result = OpeningResult::Full;
     }
-    this->recordOpening(now, segment, result, obstacle);
     this->count.add(Counter::FlowsRefused);
     this->events.log(EventLevel::Info, "opening-passed",
         {
@@ -63,10 +62,6 @@
     const OpeningLimits limits = this->openingLimits(flow.service);
     const size_t limit = takesFlows ? limits.ofOriginal() : 0;
     OpeningOutcome outcome { flow, this->settings.address, result, clamp(this->flowsAwaitingAnswer), this->peers.self().slots, clamp(limit) };
-    if (const auto reserved = this->priorityReserve.reportedLimit(now, this->room(limit)); reserved && reserved->requests < limit) {
-        outcome.reservedFrom = reserved->from;
-        outcome.reservedLimit = clamp(reserved->requests);
-    }
     outcome.lastChanceLimit = takesFlows ? clamp(limits.ofCopy(lastOpeningRetransmission)) : 0;
     outcome.processingMs = static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(this->processingTime.mean().value_or(Duration::zero())).count());
     outcome.service = this->serviceHash;
@@ -103,7 +98,6 @@
     flow.createdAt = now;
     flow.balancer = forwarded.balancer;
     flow.home = forwarded.home;
-    flow.priority = this->priorityOf(forwarded.packet.flow.service);
     flow.openingAge = openingAge(segment.acknowledged);
     this->forgetElsewhere(forwarded.packet.flow);
     this->coldStartLimiter.recordOpening(now);
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -296,7 +296,6 @@
         .reportPeriod = values->milliseconds("/upstream/report_ms"),
         .fabricListen = values->address("/fabric/listen"),
         .hasFlowDirectory = values->text("/flow_directory") == "on",
-        .reservesByPriority = values->text("/admission/by_priority") == "on",
         .holdsRequests = values->text("/admission/hold_requests") == "on",
         .slots = static_cast<uint16_t>(values->number("/upstream/slots")),
         .healthPeriod = values->milliseconds("/upstream/health_ms"),
--- a/src/settings/setting_func.h
+++ b/src/settings/setting_func.h
@@ -84,7 +84,6 @@
     Duration reportPeriod {}; ///< Approximate time between two heartbeats of such an upstream.
     Address fabricListen; ///< Callers of opaque flows receive packets on the port of this address; the host is not used.
     bool hasFlowDirectory = false; ///< The agents of the service keep a directory of opaque flows.
-    bool reservesByPriority = true; ///< Room of the upstream is kept for openings of more urgent routes.
     bool holdsRequests = true; ///< Requests on open flows wait while the upstream is full.
     uint16_t slots = 1; ///< Requests that the upstream runs at once.
     Duration healthPeriod {}; ///< Time between two reads of the health endpoint of an HTTP upstream.
--- a/src/table/setting_table.cpp
+++ b/src/table/setting_table.cpp
@@ -218,13 +218,6 @@
             .help = "Callers of opaque flows receive packets on the port of this address; required with /upstream/packets",
             .requiredWith = "/upstream/packets",
         },
-        SettingDescription {
-            .path = "/admission/by_priority",
-            .kind = SettingKind::Choice,
-            .defaultValue = "off",
-            .choices = "off|on",
-            .help = "on: room of the upstream is kept for openings of more urgent routes, where the rules state priorities",
-        },
         SettingDescription {
             .path = "/admission/hold_requests",
             .kind = SettingKind::Choice,
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -223,8 +223,6 @@
     uint16_t busy = 0; ///< Requests at the upstream now, running or queued.
     uint16_t slots = 0; ///< Requests that the upstream runs at once.
     uint16_t limit = 0; ///< Value of busy from which the agent takes no more opening packets; 0 if it takes none at present.
-    uint8_t reservedFrom = 0; ///< Most urgent priority that reservedLimit holds for; 0 if all have the same limit.
-    uint16_t reservedLimit = 0; ///< Like limit, for openings of priority reservedFrom and all less urgent ones.
     uint32_t processingMs = 0; ///< Mean time that the upstream works on one request, rounded up; 0 if unknown.
     uint16_t lastChanceLimit = 0; ///< Like limit, for the last copy of an opening whose caller can't be answered by a later packet.
     RequestOutcomes requests; ///< How the latest requests ended at the agent's upstream.
--- a/src/wire/serialize_func.h
+++ b/src/wire/serialize_func.h
@@ -152,7 +152,7 @@
 {
     archive(outcome.flow, outcome.agent);
     transferEnum(archive, outcome.result, OpeningResult::OtherRules);
-    archive(outcome.busy, outcome.slots, outcome.limit, outcome.reservedFrom, outcome.reservedLimit, outcome.processingMs, outcome.lastChanceLimit, outcome.requests, outcome.service);
+    archive(outcome.busy, outcome.slots, outcome.limit, outcome.processingMs, outcome.lastChanceLimit, outcome.requests, outcome.service);
     transferBool(archive, outcome.isOpen);
 }
 
