Openings: copies before the last one go by the limit for originals

What callers would see: on a route with a timeout under 300 ms no original would wait in a queue, since the balancer took each copy that is a last chance for one that the agent's limit for last copies holds for; with 200 ms left of a timeout of 800 ms that limit is more than the original's, with a timeout of 250 ms it is the slots. Found while reading the change; no deployment has such timeouts. The test failed before.

--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -191,7 +191,8 @@
 
 uint16_t OpeningTracker::AgentLoad::limitFor(const Opening& opening) const
 {
-    return isLastChance(opening.copy, opening.needs.timeout) ? this->lastChanceLimit : this->limit;
+    const bool isLastCopy = opening.copy == lastOpeningRetransmission;
+    return isLastCopy && isLastChance(opening.copy, opening.needs.timeout) ? this->lastChanceLimit : this->limit;
 }
 
 std::optional<Duration> OpeningTracker::AgentLoad::answerTime() const
--- a/src/packet/packet_outcome.cpp
+++ b/src/packet/packet_outcome.cpp
@@ -39,8 +39,10 @@
     if (hasNewData) {
         flow.upstreamEnd = end;
         this->outcomeWindow.onAnswer(now, key, this->peers.self().slots);
-    } else if (segment.isFinishing && !flow.hasCallerFinished) {
-        flow.upstreamEnd ? this->outcomeWindow.onBrokenOff(now, key) : this->outcomeWindow.forget(key);
+    } else if (segment.isFinishing && !flow.hasCallerFinished && flow.upstreamEnd) {
+        this->outcomeWindow.onBrokenOff(now, key);
+    } else if (segment.isFinishing && !flow.upstreamEnd) {
+        this->outcomeWindow.forget(key); // Whether data comes before the close is not known.
     }
 }
 
--- a/tests/opening_timeout_test.cpp
+++ b/tests/opening_timeout_test.cpp
@@ -65,3 +65,25 @@
     CHECK_FALSE(TimeoutScene().refuse({ .timeout = 2s }, 7, 0).front().isUnservable);
     CHECK_FALSE(TimeoutScene().refuse({ .timeout = 2s }, 7, 1000, 1).front().isUnservable);
 }
+
+/** Two agents with full slots: an opening waits at one of them if it has room for this copy, whatever the route's timeout. */
+TEST(OpeningTimeout, EachCopyIsOfferedAPlaceByItsOwnLimit)
+{
+    const auto isOfferedPlace = [](Duration timeout, uint32_t copy, uint16_t lastChanceLimit) {
+        Counters counters;
+        NullEventSink events;
+        OpeningTracker tracker(counters, events);
+        Actions actions;
+        const std::vector<Address> agents { { 0x0A010000, 7000 }, { 0x0A010001, 7000 } };
+        for (const Address agent : agents) {
+            tracker.onOutcome(10s, { .flow = { caller(9), packetService }, .agent = agent, .result = OpeningResult::Full, .busy = 3, .slots = 2, .limit = 5, .lastChanceLimit = lastChanceLimit }, actions);
+        }
+        actions.clear();
+        ForwardedPacket forwarded { .packet = { .flow = { caller(1), packetService }, .mark = PacketMark::Opening, .payload = { 1 } }, .candidates = agents };
+        tracker.onOpening(10s, std::move(forwarded), copy, actions, { .timeout = timeout });
+        return !actions.empty() && std::get<ForwardedPacket>(std::get<SendMessage>(actions.front()).message).isPlaced;
+    };
+    CHECK(isOfferedPlace(250ms, 0, 2) && isOfferedPlace(650ms, 1, 2)); // Last chances too, but not the last copies.
+    CHECK(isOfferedPlace(800ms, 2, 7) && !isOfferedPlace(800ms, 2, 3));
+    CHECK(isOfferedPlace(2s, 2, 3)); // The caller can open another flow.
+}
