Balancer: an opening that a late agent may have accepted is not reset

Cause, from the records: the balancer offered the opening to one agent, whose answer took more than 60 ms, then to another, whose answer took 106 ms. Both count as no answer, no agent was busy, so the original was reset as "no_agent_takes_it"; the first agent had placed the flow 6 ms before its time was over. Resets for full queues and beyond the timeout already looked for an offer that timed out, this one did not.

Change: RefusedOpening tells that an offer timed out, and the balancer then sends no reset; the caller's copy finds the owner. The test fails with the reset (1 reset where none is allowed) and checks that an agent that refuses still leads to one.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -112,7 +112,7 @@
     bool selectAgents(TimePoint now, ForwardedPacket& forwarded);
     void fetchNewerRules(TimePoint now, Address peer, const Revision& revision, Actions& actions);
     void handleRefusedOpenings(TimePoint now, Actions& actions);
-    void refuseIfOpening(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions);
+    void refuseIfOpening(TimePoint now, const FlowPacket& packet, std::string_view reason, bool mayBeAccepted, Actions& actions);
     void refreshTables(TimePoint now);
     void beginServing(TimePoint now, Actions& actions);
     void requestAnnouncesForNewRevision(Actions& actions);
--- a/src/balancer/balancer_packet.cpp
+++ b/src/balancer/balancer_packet.cpp
@@ -26,13 +26,13 @@
     this->count.add(Counter::PacketsReceived);
     if (!this->follower.current().serviceByAddress.contains(packet.flow.service) || packet.isToCaller) {
         this->count.add(Counter::PacketsNoService);
-        this->refuseIfOpening(now, packet, "no_route", actions);
+        this->refuseIfOpening(now, packet, "no_route", false, actions);
         return;
     }
     ForwardedPacket forwarded { .packet = packet };
     if (!this->selectAgents(now, forwarded)) {
         this->count.add(Counter::PacketsNoUpstream);
-        this->refuseIfOpening(now, packet, "no_upstream", actions);
+        this->refuseIfOpening(now, packet, "no_upstream", false, actions);
         return;
     }
     this->count.add(Counter::PacketsForwarded);
@@ -78,17 +78,17 @@
                     { "copies", std::to_string(opening.copies) },
                 });
         } else {
-            this->refuseIfOpening(now, opening.packet, "no_agent_takes_it", actions);
+            this->refuseIfOpening(now, opening.packet, "no_agent_takes_it", opening.mayBeAccepted, actions);
         }
     }
 }
 
 /**
  * Refuses an opening packet for which there is no agent. Until the balancer serves, the packet is held instead. After that
- * the caller gets a reset, except for a retransmission and within discoveryTime. In these cases, and for all other kinds of packet,
+ * the caller gets a reset, except for a retransmission, within discoveryTime, and where an agent may have accepted the opening. In these cases, and for all other kinds of packet,
  * nothing is sent to the caller: the flow may be open at an agent that this balancer does not know.
  */
-void Balancer::refuseIfOpening(TimePoint now, const FlowPacket& packet, std::string_view reason, Actions& actions)
+void Balancer::refuseIfOpening(TimePoint now, const FlowPacket& packet, std::string_view reason, bool mayBeAccepted, Actions& actions)
 {
     if (this->codec == nullptr || packet.mark != PacketMark::Opening) {
         return;
@@ -100,7 +100,7 @@
         return;
     }
     const std::optional<Segment> segment = this->codec->parse(packet.payload);
-    const bool mayReset = segment && segment->acknowledged == 0 && this->servingSince != TimePoint {} && now - this->servingSince >= discoveryTime;
+    const bool mayReset = !mayBeAccepted && segment && segment->acknowledged == 0 && this->servingSince != TimePoint {} && now - this->servingSince >= discoveryTime;
     this->count.add(Counter::FlowsRefused);
     this->events->log(EventLevel::Info, "flow-refused",
         {
--- a/src/balancer/opening_tracker.cpp
+++ b/src/balancer/opening_tracker.cpp
@@ -186,7 +186,7 @@
         opening.refusedCopyMask |= 1U << opening.copy;
     }
     const bool areCopiesExhausted = opening.hasBusyAgent && opening.refusedCopyMask == allCopies && !opening.hadTimeout;
-    this->refused.push_back({ opening.packet.packet, opening.hasBusyAgent, areCopiesExhausted, opening.copy + 1, this->isUnservable(opening) });
+    this->refused.push_back({ opening.packet.packet, opening.hasBusyAgent, areCopiesExhausted, opening.copy + 1, opening.hadTimeout, this->isUnservable(opening) });
 }
 
 uint16_t OpeningTracker::AgentLoad::limitFor(const Opening& opening) const
--- a/src/balancer/opening_tracker.h
+++ b/src/balancer/opening_tracker.h
@@ -28,6 +28,7 @@
     bool hasBusyAgent = false; ///< At least one agent refused only because of its load, and may accept a retransmission.
     bool areCopiesExhausted = false; ///< The original and all retransmissions were refused with hasBusyAgent, and no offer timed out.
     uint32_t copies = 0; ///< Copies that the caller has sent, the refused one included.
+    bool mayBeAccepted = false; ///< An offer timed out: its agent may have accepted the opening nevertheless.
     bool isUnservable = false; ///< No agent would answer within the route's timeout, and no copy so far was accepted or may have been.
 };
 
--- a/tests/packet_leave_test.cpp
+++ b/tests/packet_leave_test.cpp
@@ -359,3 +359,30 @@
     started.agent.beginStop(started.now, started.actions);
     CHECK_FALSE(started.agent.hasLeft());
 }
+
+/**
+ * Guards against resets of flows that are open: on a busy machine two agents answered an offer after 63 and 106 ms, and the first of them
+ * had accepted it when the caller was reset. An agent that refuses may be told from one that is late.
+ */
+TEST(PacketLeave, AnOpeningThatALateAgentMayHaveAcceptedIsNotReset)
+{
+    for (const bool isLate : { true, false }) {
+        BalancerScene scene;
+        const MemberRecord record { .address = { 0x0A010002, 7000 }, .role = MemberRole::Agent, .zone = "a", .service = "orders", .incarnation = 1, .version = 1, .state = MemberState::Ready, .slots = 2, .weight = 200 };
+        (void)scene.announce(record);
+        (void)scene.advance(50ms);
+        (void)scene.advance(2s); // Agents have become known.
+        (void)scene.announce(record);
+        Actions actions;
+        const FlowKey flow { caller(1), packetService };
+        scene.balancer.onMessage(scene.now, FlowPacket { .flow = flow, .mark = PacketMark::Opening, .payload = makePacket(caller(1), packetService, OpeningFlag) }, actions);
+        CHECK_EQUAL(1, actions.size());
+        if (isLate) {
+            actions = scene.advance(70ms);
+        } else {
+            scene.balancer.onMessage(scene.now, OpeningOutcome { .flow = flow, .agent = record.address, .result = OpeningResult::Refused }, actions);
+        }
+        const auto resets = std::count_if(actions.begin(), actions.end(), [](const Action& action) { return std::holds_alternative<SendToCaller>(action); });
+        CHECK_EQUAL(isLate ? 0 : 1, resets);
+    }
+}
