--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -34,6 +34,7 @@
 OPENING_TIMEOUT = 1.4
 RETRANSMISSIONS = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 HEARTBEAT_MS = 770
+ENDPOINT_DELAY = 2.5  # Endpoints start so long after the nodes beside them.
 STORE_ANSWER_SECONDS = 0.004
 METRICS_PORT = 9464  # In the templates of deploy/; replaced by a free port.
 SUM_KEY = b"known to the ends of a flow only"
@@ -501,7 +502,8 @@
 class World:
     """One small deployment. `services` maps a service to its number of endpoints; all are in zone `a`."""
 
-    def __init__(self, folder, services, balancers=2, **endpoint_options):
+    def __init__(self, folder, services, balancers=2, added_later=(), **endpoint_options):
+        self.added_later = added_later
         self.begin, self.record, self.folder = time.monotonic(), [], Path(tempfile.mkdtemp(prefix="lavender-review-"))
         self.record_path = Path(folder) / "record.txt"
         self.violations, self.sent, self.runs, self.holders, self.strays = [], set(), {}, {}, {}
@@ -627,10 +629,21 @@
             await endpoint.listen()
         await self.client.listen()
         for name in self.fields:
-            self.start(name)
+            if name.removeprefix("agent-") not in self.added_later:
+                self.start(name)
         self.tasks = [asyncio.create_task(self.router.probe(node)) for node in self.router.nodes]
-        for endpoint in self.endpoints.values():
-            await endpoint.start()
+        await asyncio.sleep(ENDPOINT_DELAY)
+        for name, endpoint in self.endpoints.items():
+            if name not in self.added_later:
+                await endpoint.start()
+
+    async def add(self, names):
+        """Adds endpoints with the nodes beside them."""
+        for name in names:
+            self.start(f"agent-{name}")
+        await asyncio.sleep(ENDPOINT_DELAY)
+        for name in names:
+            await self.endpoints[name].start()
 
     async def wait_until_served(self, route, seconds=10.0):
         end = time.monotonic() + seconds
@@ -711,6 +724,8 @@
     async def run():
         await world.start_all()
         await scenario(world, with_trouble)
+        for endpoint in world.endpoints.values():
+            endpoint.is_up = False  # Starts no further work while the loop ends.
 
     try:
         asyncio.run(run())
