--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -779,9 +779,10 @@
             print(line)
         code = 1 if broken else 0
         lab.record.write("verdict:", "the rule was broken" if broken else "the rule held")
-    except Unable as reason:
-        lab.record.write("unable:", reason)
-        print("unable:", reason)
+    except Exception as reason:  # Whatever it is, the case has not run to its end.
+        code = 2
+        lab.record.write("unable:", repr(reason))
+        print("unable:", repr(reason))
     finally:
         lab.stop()
     sys.stdout.flush()
