--- a/src/packet/packet_return.cpp
+++ b/src/packet/packet_return.cpp
@@ -8,6 +8,21 @@
 
 namespace lavender {
 
+namespace {
+
+    constexpr uint32_t acknowledgementWindow = 1U << 20U; ///< Bytes between the end of an upstream's data and a caller's acknowledgement. Far less is in flight.
+
+    /**
+     * True if a caller's packet is of this flow: it acknowledges what the upstream has sent. A caller that uses a port again opens another
+     * flow with the same ends, perhaps at another upstream; sequence numbers begin at random.
+     */
+    bool isOfFlow(const PacketFlow& flow, const Segment& segment)
+    {
+        return segment.isAcknowledging && flow.upstreamEnd && segment.acknowledged - *flow.upstreamEnd + acknowledgementWindow < 2 * acknowledgementWindow;
+    }
+
+} // namespace
+
 void PacketAgent::onUpstreamPacket(TimePoint now, std::span<const uint8_t> packet, Actions& actions)
 {
     const std::optional<Segment> segment = this->codec.parse(packet);
@@ -126,7 +141,7 @@
         });
     if (found != this->flows.end()) {
         const FlowStage stage = found->second.stage;
-        if (stage == FlowStage::Open && !segment.isOpening) {
+        if (stage == FlowStage::Open && !segment.isOpening && isOfFlow(found->second, segment)) {
             this->resetFlow(key, found->second, "the upstream gave back a packet of an open flow", actions);
             this->eraseFlow(key);
             return;
@@ -138,7 +153,7 @@
         }
         const Address searcher = found->second.searcher;
         const Address balancer = found->second.balancer;
-        home = found->second.home.isValid() ? found->second.home : home;
+        home = found->second.home.isValid() && stage != FlowStage::Open ? found->second.home : home;
         probed = stage == FlowStage::Probing ? found->second : probed;
         this->eraseFlow(key);
         if (segment.isOpening) {
--- a/tests/lost_flow_test.cpp
+++ b/tests/lost_flow_test.cpp
@@ -147,6 +147,17 @@
     CHECK_EQUAL(1, network.nodes[added].deliveries);
 }
 
+/** A caller that uses a port again opens another flow: an agent that still lists the former one must not answer for it. */
+TEST(LostFlow, AFlowFromAPortThatIsUsedAgainIsNotResetByItsFormerOwner)
+{
+    PacketNetwork network(12, withDirectory);
+    openAll(network, 0);
+    network.advance(1s);
+    network.nodes[0].flows.clear(); // The upstream has dropped them.
+    openAll(network, 11);
+    checkFlowsStay(network, 11, 0);
+}
+
 /**
  * Cuts, restarts, new agents, late upstreams and lost messages in any order, and packets at any agent: no flow whose upstream lives is reset. Each new
  * agent is named by balancers a little later.
