--- a/src/packet/directory/holder_check.cpp
+++ b/src/packet/directory/holder_check.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration repeatPeriod = 50ms; ///< A query or answer may be lost; 16 trips between zones and back.
+    constexpr uint32_t goneQuestions = 6; ///< Then an agent that was found gone is not waited for: callers of dead flows are told within 0.4 s.
+    constexpr Duration silenceMemory = 1s; ///< An agent that was silent longer ago may be back in reach.
     constexpr Duration longestCheck = 1200ms; ///< Then the caller's next retransmission begins another.
     constexpr Duration timePerAgent = 1500us; ///< Least time between two rounds for each agent that is asked; limits queries to some 670 a second.
     constexpr size_t maximumFlows = 4096; ///< Limits memory; the callers' retransmissions ask again.
@@ -69,18 +71,42 @@
     }
 }
 
-/** Agents that were found gone get some time to answer, since one that was only out of reach may hold the flow. */
+/** Counts a question that has waited for its answer. */
+void HolderCheck::countSilence(TimePoint now, Address agent)
+{
+    Silence& silence = this->silences[agent];
+    silence.questions = now - silence.lastAt < silenceMemory ? silence.questions + 1 : 1;
+    silence.lastAt = now;
+}
+
+bool HolderCheck::isSilent(TimePoint now, Address agent) const
+{
+    const auto found = this->silences.find(agent);
+    return found != this->silences.end() && found->second.questions >= goneQuestions && now - found->second.lastAt < silenceMemory;
+}
+
+/** False for agents that were found gone, or have left since. */
+bool HolderCheck::isRequired(Address agent, const KnownAgents& known) const
+{
+    const auto state = known.all().find(agent);
+    if (state != known.all().end()) {
+        return state->second.isRequired;
+    }
+    const auto other = this->listed.find(agent);
+    return other != this->listed.end() && known.isNew(other->second);
+}
+
+/**
+ * An agent that was found gone may have been out of reach only, or be slow, and hold the flow: its silence counts by questions, one of them
+ * in this round. A tick counts one at most, and answers are read between ticks, so a pause of this process counts as one question.
+ */
 bool HolderCheck::isRoundOver(TimePoint now, const KnownAgents& known) const
 {
-    const bool isAnyRequired = std::any_of(this->pending.begin(), this->pending.end(), [&](Address agent) {
-        const auto state = known.all().find(agent);
-        if (state != known.all().end()) {
-            return state->second.isRequired;
-        }
-        const auto other = this->listed.find(agent);
-        return other != this->listed.end() && known.isNew(other->second);
+    const bool hasRepeated = this->askedAt > this->beganAt;
+    return std::all_of(this->pending.begin(), this->pending.end(), [&](Address agent) {
+        const bool wasFoundGone = known.all().contains(agent);
+        return !this->isRequired(agent, known) && (!wasFoundGone || (hasRepeated && this->isSilent(now, agent)));
     });
-    return !isAnyRequired && (this->pending.empty() || now - this->beganAt >= repeatPeriod);
 }
 
 std::vector<HolderFinding> HolderCheck::endRoundIfOver(TimePoint now, const KnownAgents& known)
@@ -98,6 +124,7 @@
 std::vector<HolderFinding> HolderCheck::onReply(TimePoint now, const HoldersReply& reply, const KnownAgents& known, Actions& actions)
 {
     const Address responder = reply.responder.agent;
+    this->silences.erase(responder);
     const bool isOfThisRound = !this->asked.empty() && reply.round == this->round && reply.searcherIncarnation == this->self.incarnation;
     if (!isOfThisRound || this->pending.erase(responder) == 0) {
         return {};
@@ -151,8 +178,10 @@
     if (!this->asked.empty() && now - this->askedAt >= repeatPeriod) {
         this->askedAt = now;
         for (Address agent : this->pending) {
+            this->countSilence(now, agent);
             this->ask(agent, known, actions);
         }
+        std::erase_if(this->silences, [now](const auto& entry) { return now - entry.second.lastAt >= silenceMemory; });
     }
     std::vector<HolderFinding> atOnce = this->beginRound(now, known, actions);
     findings.insert(findings.end(), std::make_move_iterator(atOnce.begin()), std::make_move_iterator(atOnce.end()));
--- a/src/packet/directory/holder_check.h
+++ b/src/packet/directory/holder_check.h
@@ -27,7 +27,7 @@
 /**
  * Checks flows in rounds: one query to each agent for all flows that wait. A round is over when each agent that is known, here or to any
  * agent that has answered, has answered this round. Two kinds are not waited for: those that have said that they leave, and those that balancers
- * have found gone and that do not answer at once. An agent that is cut off with its flows may be among the latter.
+ * have found gone and that leave several questions in a row unanswered. An agent that is cut off with its flows may be among the latter.
  */
 class HolderCheck {
 public:
@@ -62,8 +62,17 @@
         std::vector<Address> uncertain;
     };
 
+    /** Questions in a row that an agent has not answered, in this round and in those just before. */
+    struct Silence {
+        uint32_t questions = 0;
+        TimePoint lastAt {}; ///< When the last of them had waited for its answer.
+    };
+
     void ask(Address agent, const KnownAgents& known, Actions& actions) const;
     void askKnown(const KnownAgents& known, Actions& actions);
+    void countSilence(TimePoint now, Address agent);
+    bool isSilent(TimePoint now, Address agent) const;
+    bool isRequired(Address agent, const KnownAgents& known) const;
     bool isRoundOver(TimePoint now, const KnownAgents& known) const;
     std::vector<HolderFinding> endRoundIfOver(TimePoint now, const KnownAgents& known);
     void giveUp(TimePoint now, std::vector<HolderFinding>& findings);
@@ -75,6 +84,7 @@
     std::set<Address> pending; ///< Agents without an answer in this round.
     std::set<Address> answered; ///< Agents that have answered this round.
     std::map<Address, AgentIncarnation> listed; ///< Agents of this round that only others know.
+    std::map<Address, Silence> silences; ///< Of agents that have left questions unanswered.
     uint32_t round = 0;
     TimePoint beganAt {};
     TimePoint askedAt {};
--- a/tests/lost_flow_test.cpp
+++ b/tests/lost_flow_test.cpp
@@ -132,6 +132,42 @@
     CHECK_TRUE(findings[0].verdict == HolderFinding::Verdict::Denied);
 }
 
+/** An agent that balancers have found gone may live, and a slow or resumed one answers late: its flows are not reset before that. */
+TEST(LostFlow, AFlowOfAnAgentThatWasFoundGoneIsNotResetWhileItsAnswerIsOnItsWay)
+{
+    PacketNetwork network(8, withDirectory);
+    openAll(network, 5);
+    network.advance(1s);
+    network.cutOff = { 5 };
+    network.announceLiveness(5, Liveness::Gone);
+    network.advance(6s); // The directory no longer lists it as an owner.
+    sendAll(network, 5, 0);
+    network.advance(250ms);
+    network.cutOff.clear();
+    checkFlowsStay(network, 5, 0);
+}
+
+/** A searcher that was suspended during a round has not read the answers yet: its own pause is not an agent's silence. */
+TEST(LostFlow, APauseOfTheSearcherDoesNotEndARound)
+{
+    const FlowKey flow { caller(1), packetService };
+    const AgentIncarnation self { packetAgent(0), 1'000'000 };
+    const AgentIncarnation owner { packetAgent(1), 1'000'000 };
+    MemberTable table;
+    (void)table.merge(1s, packetAgentRecord(1));
+    CHECK_TRUE(table.markLiveness(1s, owner.agent, Liveness::Gone));
+    KnownAgents known(self);
+    known.update(1s, table, {});
+    HolderCheck check(1, self);
+    Actions actions;
+    CHECK_TRUE(check.begin(1s, flow));
+    CHECK_TRUE(check.beginRound(1s, known, actions).empty());
+    CHECK_TRUE(check.tick(2s, known, actions).empty());
+    const std::vector<HolderFinding> findings = check.onReply(2s, { .responder = owner, .searcherIncarnation = self.incarnation, .round = 1, .held = { flow } }, known, actions);
+    CHECK_EQUAL(1, findings.size());
+    CHECK_TRUE(findings[0].verdict == HolderFinding::Verdict::Held);
+}
+
 /** Whoever asks all agents hears of a new one only if some agent knows it: until then it takes no flow. */
 TEST(LostFlow, AnAgentTakesNoFlowBeforeOthersKnowOfIt)
 {
