--- a/src/packet/packet_directory.cpp
+++ b/src/packet/packet_directory.cpp
@@ -15,7 +15,7 @@
     constexpr Duration judgingTime = 300ms; ///< By then an upstream that has started with its agent has reported, and rules tell its cold time.
     constexpr Duration registrationRequestPeriod = 300ms; ///< Time between two requests to agents that have not registered their flows.
     constexpr Duration halfIntroductionTime = 300ms; ///< Later one agent that knows of this process suffices: most of the others may have ended with the earlier one.
-    constexpr Duration introductionTime = 1s; ///< By then balancers have named this process to all agents, which announce themselves each second.
+    constexpr Duration introductionTime = 1s; ///< So long after balancers have heard of this process they have named it to all agents, which announce themselves each second.
     constexpr Duration registrationTime = 100ms; ///< Within this time after its opening, a second owner may not be listed yet.
 
 } // namespace
@@ -124,7 +124,7 @@
     const auto [agents, replies] = this->registrar.introductions();
     const bool isAlone = agents == 0 && this->isSynchronized();
     const bool isKnownToMost = replies != 0 && (replies * 2 >= agents || age >= halfIntroductionTime);
-    this->isIntroduced = isAlone || isKnownToMost || age >= introductionTime;
+    this->isIntroduced = isAlone || isKnownToMost || this->isSynchronizedFor(now, introductionTime);
     return this->isIntroduced;
 }
 
--- a/tests/lost_flow_test.cpp
+++ b/tests/lost_flow_test.cpp
@@ -132,6 +132,24 @@
     CHECK_TRUE(findings[0].verdict == HolderFinding::Verdict::Denied);
 }
 
+/** An agent that reaches no other is known to them by balancers only, and these name it within a second after they have heard of it, not after its start. */
+TEST(LostFlow, AnAgentThatBalancersHeardOfLateTakesNoFlowBeforeTheyHaveNamedIt)
+{
+    PacketNetwork network(6, withDirectory);
+    const uint32_t added = network.add();
+    network.cutOff = { added };
+    network.start(added, {});
+    network.advance(900ms);
+    network.announceRunning(); // Tells it of the others.
+    network.announceRunning(); // Confirms its view.
+    network.advance(200ms);
+    network.send(added, makePacket(caller(1), packetService, OpeningFlag), { packetAgent(added) });
+    CHECK_EQUAL(0, network.nodes[added].deliveries);
+    network.advance(900ms);
+    network.send(added, makePacket(caller(2), packetService, OpeningFlag), { packetAgent(added) });
+    CHECK_EQUAL(1, network.nodes[added].deliveries);
+}
+
 /** An agent that balancers have found gone may live, and a slow or resumed one answers late: its flows are not reset before that. */
 TEST(LostFlow, AFlowOfAnAgentThatWasFoundGoneIsNotResetWhileItsAnswerIsOnItsWay)
 {
