--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -21,7 +21,7 @@
     Ready, ///< Takes its full share of the work.
     Shedding, ///< Overloaded; refuses new work for now.
     Draining, ///< About to stop; takes no new flow.
-    NoUpstream, ///< Agent that holds no flow: it has no upstream yet, or it announced its leave.
+    NoUpstream, ///< Agent that holds no flow: its upstream leaves probes unanswered, or it announced its leave.
 };
 
 /** What other processes believe about a member. Among records of one version the higher value wins. */
--- a/src/packet/packet_admission.cpp
+++ b/src/packet/packet_admission.cpp
@@ -27,18 +27,21 @@
     return now - lastSignOfLife >= std::min<Duration>(this->settings.reportPeriod * 5 / 2, this->codec.timing().addressReuseTime - addressReuseMargin);
 }
 
+/** True if no upstream has answered probes since this process started. A working one returns the packet of an unknown flow in less than 1 ms. */
+bool PacketAgent::areProbesUnanswered(TimePoint now) const
+{
+    const bool isNothingHeard = !this->latestReport && this->lastUpstreamPacket == TimePoint {};
+    return isNothingHeard && this->probesSent >= minimumUnansweredProbes && now - this->firstProbeAt >= minimumUnansweredTime;
+}
+
 /**
  * True if there is no upstream beside this agent: since this process started it has shown no flow and sent no report, and
- * either it has not answered probes or its first report is overdue. A working upstream returns the packet of an unknown flow
- * in less than 1 ms.
+ * either it has not answered probes or its first report is overdue.
  */
 bool PacketAgent::isUpstreamAbsent(TimePoint now) const
 {
-    if (this->latestReport || this->hasUpstreamSentOwnPacket) {
-        return false;
-    }
-    const bool areProbesUnanswered = this->lastUpstreamPacket == TimePoint {} && this->probesSent >= minimumUnansweredProbes && now - this->firstProbeAt >= minimumUnansweredTime;
-    return areProbesUnanswered || now - this->settings.startedAt >= this->settings.reportPeriod * 5 / 2;
+    const bool isNoneKnown = !this->latestReport && !this->hasUpstreamSentOwnPacket;
+    return isNoneKnown && (this->areProbesUnanswered(now) || now - this->settings.startedAt >= this->settings.reportPeriod * 5 / 2);
 }
 
 /** Why no new flow is admitted now, whatever the length of the queue. */
--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -288,8 +288,10 @@
 {
     const Obstacle obstacle = this->obstacle(now);
     MemberState state = MemberState::Ready;
-    if (this->isUpstreamAbsent(now)) {
+    if (this->areProbesUnanswered(now)) {
         state = MemberState::NoUpstream;
+    } else if (this->isUpstreamAbsent(now)) {
+        state = MemberState::Shedding; // It may only be late: its first flows would be registered before balancers have passed on another state.
     } else if (obstacle == Obstacle::Stopping || obstacle == Obstacle::Draining) {
         state = MemberState::Draining;
     } else if (obstacle == Obstacle::Silent || obstacle == Obstacle::OtherService) {
--- a/src/packet/packet_agent_base.h
+++ b/src/packet/packet_agent_base.h
@@ -169,6 +169,7 @@
     // packet_admission.cpp
     static std::string_view toText(Obstacle obstacle);
     bool isUpstreamSilent(TimePoint now) const;
+    bool areProbesUnanswered(TimePoint now) const;
     bool isUpstreamAbsent(TimePoint now) const;
     Obstacle obstacle(TimePoint now) const;
     Obstacle obstacle(TimePoint now, const Segment& opening) const;
--- a/tests/lost_flow_test.cpp
+++ b/tests/lost_flow_test.cpp
@@ -83,6 +83,22 @@
     CHECK_EQUAL(0, network.nodes[0].agent->counters().get(Counter::HolderRounds)); // The directory names the owner.
 }
 
+/**
+ * Incident of the upgrade: agents of an earlier build take the flows of an agent that has stated that it has no upstream for void until balancers
+ * tell them otherwise, so an agent whose upstream may only be late does not state it.
+ */
+TEST(LostFlow, AnAgentWhoseUpstreamIsLateDoesNotStateThatItHasNone)
+{
+    PacketNetwork network(6, withDirectory);
+    const uint32_t added = network.add();
+    network.nodes[added].isUpstreamRunning = false;
+    network.start(added);
+    network.advance(4s);
+    const MemberRecord& record = network.nodes[added].agent->self();
+    CHECK_TRUE(record.state != MemberState::NoUpstream);
+    CHECK_FALSE(isEligible(record)); // Balancers offer it no flow meanwhile.
+}
+
 /** Incident of the healed cut: both directory agents of a flow were cut off when it was opened, and have not heard of it yet. */
 TEST(LostFlow, AFlowThatWasOpenedWhileItsDirectoryAgentsWereCutOffIsNotReset)
 {
