--- a/tools/lib/soak/events.py
+++ b/tools/lib/soak/events.py
@@ -183,7 +183,8 @@
     world.record_fault([upstream.instance], event["seconds"])
     upstream.crash()
     await asyncio.sleep(event["seconds"])
-    upstream.start()
+    if not upstream.is_up:  # Another crash of it may have ended in the meantime.
+        upstream.start()
 
 
 async def set_flag_for_duration(world, event, name):
