--- a/src/daemon/balancer_main.cpp
+++ b/src/daemon/balancer_main.cpp
@@ -1,6 +1,7 @@
 /** @file balancer_main.cpp lavender-balancer: connects the balancer's decision logic to sockets, the store and the clock. */
 #include "balancer/balancer_base.h"
 #include "core/text_func.h"
+#include "daemon/bind_error.h"
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
 #include "daemon/log_func.h"
@@ -60,7 +61,7 @@
         /**
          * Binds the socket for packets from the platform's routers and the readiness endpoint that they query; does
          * nothing if no fabric address is configured.
-         * @return Unavailable if an address cannot be bound.
+         * @return The error if an address cannot be bound: see makeBindError().
          */
         absl::Status openFabric()
         {
@@ -248,8 +249,7 @@
         setupLog(settings.logFormat, settings.logLevel);
         BalancerProcess process(settings, text, path);
         if (const absl::Status status = process.openFabric(); !status.ok()) {
-            logError("listen-failed", status.ToString());
-            return static_cast<int>(ExitCode::Unavailable);
+            return static_cast<int>(reportBindError(status));
         }
         return static_cast<int>(process.run());
     };
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -1,7 +1,7 @@
 /** @file http_server.cpp HTTP server with libsoup. */
 #include "daemon/http_server.h"
 
-#include "core/text_func.h"
+#include "daemon/bind_error.h"
 #include "daemon/udp_socket.h"
 
 namespace lavender {
@@ -17,9 +17,7 @@
     const bool isBound = soup_server_listen(result->server, local, static_cast<SoupServerListenOptions>(0), &error) != FALSE;
     g_object_unref(local);
     if (!isBound) {
-        absl::Status status = absl::UnavailableError(concat("HTTP ", formatAddress(address), ": ", error->message));
-        g_error_free(error);
-        return status;
+        return makeBindError("HTTP", address, error);
     }
     return result;
 }
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -26,7 +26,7 @@
     /** Called on the main loop for each request; it decides by method and path. */
     using Handler = std::function<HttpReply(std::string_view method, std::string_view path, std::string_view body)>;
 
-    /** Binds @p address and starts to serve. @return Unavailable if the address cannot be bound. */
+    /** Binds @p address and starts to serve. @return The error if the address cannot be bound: see makeBindError(). */
     static absl::StatusOr<std::unique_ptr<HttpServer>> open(Address address, Handler handler);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
--- a/src/daemon/packet_agent_process.cpp
+++ b/src/daemon/packet_agent_process.cpp
@@ -1,6 +1,7 @@
 /** @file packet_agent_process.cpp Connects the packet agent's decision logic to sockets, the upstream's reports and the clock. */
 #include "daemon/packet_agent_process.h"
 
+#include "daemon/bind_error.h"
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
 #include "daemon/listener_check.h"
@@ -54,7 +55,7 @@
 
         /**
          * Binds the socket for packets from the upstream and the HTTP endpoint for its reports.
-         * @return Unavailable if an address cannot be bound.
+         * @return The error if an address cannot be bound: see makeBindError().
          */
         absl::Status openUpstream()
         {
@@ -169,8 +170,7 @@
 {
     PacketAgentProcess process(settings, std::move(text), std::move(path));
     if (const absl::Status status = process.openUpstream(); !status.ok()) {
-        logError("listen-failed", status.ToString());
-        return ExitCode::Unavailable;
+        return reportBindError(status);
     }
     return process.run();
 }
--- a/src/daemon/packet_agent_process.h
+++ b/src/daemon/packet_agent_process.h
@@ -12,7 +12,7 @@
  * Runs the agent until it is told to stop.
  * @param text Content of the settings file.
  * @param path Path of the settings file, for reloads.
- * @return Unavailable if an address cannot be bound.
+ * @return AddressInUse or Unavailable if an address cannot be bound.
  */
 ExitCode runPacketAgent(const AgentProcessSettings& settings, std::string text, std::string path);
 
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -2,6 +2,7 @@
 #include "daemon/process_base.h"
 
 #include "core/text_func.h"
+#include "daemon/bind_error.h"
 #include "daemon/log_func.h"
 #include "daemon/program_func.h"
 
@@ -76,14 +77,12 @@
 {
     auto socket = UdpSocket::open(this->listen, [this](Address from, std::span<const uint8_t> bytes) { this->onDatagram(from, bytes); });
     if (!socket.ok()) {
-        logError("listen-failed", socket.status().ToString());
-        return ExitCode::Unavailable;
+        return reportBindError(socket.status());
     }
     this->udp = std::move(*socket);
     auto server = SnapshotServer::open(this->listen, [this](const SnapshotRequest& request) { return this->makeSnapshot(request); });
     if (!server.ok()) {
-        logError("listen-failed", server.status().ToString());
-        return ExitCode::Unavailable;
+        return reportBindError(server.status());
     }
     this->snapshots = std::move(*server);
     if (this->metricsAddress.isValid()) {
@@ -95,8 +94,7 @@
                                       : HttpReply { .status = 404 };
         });
         if (!httpServer.ok()) {
-            logError("listen-failed", httpServer.status().ToString());
-            return ExitCode::Unavailable;
+            return reportBindError(httpServer.status());
         }
         this->metricsServer = std::move(*httpServer);
     }
--- a/src/daemon/process_base.h
+++ b/src/daemon/process_base.h
@@ -27,6 +27,7 @@
     Usage = 2, ///< The command line or the settings are not valid.
     Unavailable = 3, ///< An address could not be bound.
     Interrupted = 4, ///< Stopped with open work left, after a second signal or at the end of the drain time.
+    AddressInUse = 5, ///< Another socket has an address; runProgram() tries again, so that no process ends with it.
 };
 
 /** Timer on the main loop, periodic or for one call. The destructor stops it. */
@@ -72,7 +73,7 @@
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
-    /** Binds the sockets and runs the main loop until finish(). @return Unavailable if an address cannot be bound. */
+    /** Binds the sockets and runs the main loop until finish(). @return AddressInUse or Unavailable if an address cannot be bound. */
     ExitCode run();
 
 protected:
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -7,6 +7,7 @@
 #include "settings/setting_func.h"
 
 #include <csignal>
+#include <ctime>
 #include <pthread.h>
 
 #include <boost/program_options.hpp>
@@ -23,11 +24,36 @@
 
     namespace options = boost::program_options;
 
-    constexpr std::string_view exitCodeHelp = "\nExit codes: 0 stopped on request, 2 invalid command line or settings, 3 an address cannot be bound,\n"
+    constexpr timespec retryPeriod { .tv_sec = 0, .tv_nsec = 100'000'000 }; ///< Between two attempts to bind an address that is in use.
+
+    constexpr std::string_view exitCodeHelp = "\nExit codes: 0 stopped on request, 2 invalid command line or settings, 3 an address cannot be bound (one that is in use is waited for),\n"
                                               "4 stopped with open work left (second signal, or the drain time ran out).\n"
                                               "Signals: SIGTERM and SIGINT stop gracefully; a second one ends the process at once.\n"
                                               "SIGHUP reads the settings file again.\n";
 
+    /** Waits for the time between two attempts. @return True if SIGTERM came, which is held back. */
+    bool hasStopSignalCome()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        return sigtimedwait(&signals, nullptr, &retryPeriod) == SIGTERM;
+    }
+
+    /** Runs a daemon; one whose address is in use begins again, as the process that has it may be about to stop. */
+    int runOnceAddressIsFree(const std::function<int()>& run)
+    {
+        for (;;) {
+            const int code = run();
+            if (code != static_cast<int>(ExitCode::AddressInUse)) {
+                return code;
+            }
+            if (hasStopSignalCome()) {
+                return static_cast<int>(ExitCode::Done);
+            }
+        }
+    }
+
 } // namespace
 
 void holdSignals(bool areHeld)
@@ -112,7 +138,7 @@
         }
         return usage;
     }
-    return values.count("check-config") != 0 ? 0 : run(text, path);
+    return values.count("check-config") != 0 ? 0 : runOnceAddressIsFree([&] { return run(text, path); });
 }
 
 } // namespace lavender
--- a/src/daemon/snapshot_channel.cpp
+++ b/src/daemon/snapshot_channel.cpp
@@ -2,6 +2,7 @@
 #include "daemon/snapshot_channel.h"
 
 #include "core/text_func.h"
+#include "daemon/bind_error.h"
 #include "daemon/udp_socket.h"
 #include "wire/codec_func.h"
 
@@ -163,9 +164,7 @@
     const bool isBound = g_socket_listener_add_address(G_SOCKET_LISTENER(server->service), local, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error) != FALSE;
     g_object_unref(local);
     if (!isBound) {
-        absl::Status status = absl::UnavailableError(concat("TCP ", formatAddress(address), ": ", error->message));
-        g_error_free(error);
-        return status;
+        return makeBindError("TCP", address, error);
     }
     g_signal_connect(server->service, "incoming", G_CALLBACK(&SnapshotServer::onIncoming), server.get());
     g_socket_service_start(server->service);
--- a/src/daemon/snapshot_channel.h
+++ b/src/daemon/snapshot_channel.h
@@ -17,7 +17,7 @@
     /** Makes the snapshot for a request; called on the main loop. */
     using Provider = std::function<Snapshot(const SnapshotRequest&)>;
 
-    /** Binds @p address and starts to serve. @return Unavailable if the address cannot be bound. */
+    /** Binds @p address and starts to serve. @return The error if the address cannot be bound: see makeBindError(). */
     static absl::StatusOr<std::unique_ptr<SnapshotServer>> open(Address address, Provider provider);
     ~SnapshotServer();
     SnapshotServer(const SnapshotServer&) = delete;
--- a/src/daemon/udp_socket.cpp
+++ b/src/daemon/udp_socket.cpp
@@ -1,7 +1,7 @@
 /** @file udp_socket.cpp Non-blocking UDP socket; one dispatch of the main loop reads a burst of datagrams. */
 #include "daemon/udp_socket.h"
 
-#include "core/text_func.h"
+#include "daemon/bind_error.h"
 #include "wire/message_type.h"
 
 #include <sys/socket.h>
@@ -52,17 +52,12 @@
 
 absl::StatusOr<std::unique_ptr<UdpSocket>> UdpSocket::open(Address address, Receiver receiver)
 {
-    const auto toStatus = [address](GError* error) {
-        absl::Status status = absl::UnavailableError(concat("UDP ", formatAddress(address), ": ", error->message));
-        g_error_free(error);
-        return status;
-    };
     GError* error = nullptr;
     std::unique_ptr<UdpSocket> result(new UdpSocket());
     result->receiver = std::move(receiver);
     result->socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &error);
     if (result->socket == nullptr) {
-        return toStatus(error);
+        return makeBindError("UDP", address, error);
     }
     g_socket_set_blocking(result->socket, FALSE);
     g_socket_set_option(result->socket, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes, nullptr);
@@ -70,7 +65,7 @@
     const bool isBound = g_socket_bind(result->socket, local, FALSE, &error) != FALSE;
     g_object_unref(local);
     if (!isBound) {
-        return toStatus(error);
+        return makeBindError("UDP", address, error);
     }
     GSocketAddress* bound = g_socket_get_local_address(result->socket, nullptr);
     result->bound = fromSocketAddress(bound);
--- a/src/daemon/udp_socket.h
+++ b/src/daemon/udp_socket.h
@@ -22,7 +22,7 @@
     /**
      * Binds @p address and starts to receive.
      * @param receiver Called on the main loop for each datagram. One that is too large comes cut to maximumDatagramBytes + 1 bytes.
-     * @return Unavailable if the socket cannot be created or bound.
+     * @return The error if the socket cannot be created or bound: see makeBindError().
      */
     static absl::StatusOr<std::unique_ptr<UdpSocket>> open(Address address, Receiver receiver);
 
