--- a/src/packet/packet_agent.cpp
+++ b/src/packet/packet_agent.cpp
@@ -288,14 +288,13 @@
 {
     const Obstacle obstacle = this->obstacle(now);
     MemberState state = MemberState::Ready;
+    const bool isOverdue = this->isUpstreamAbsent(now); // It may only be late: its first flows are registered before balancers have passed on another state.
     if (this->areProbesUnanswered(now)) {
         state = MemberState::NoUpstream;
-    } else if (this->isUpstreamAbsent(now)) {
-        state = MemberState::Shedding; // It may only be late: its first flows would be registered before balancers have passed on another state.
+    } else if (isOverdue || obstacle == Obstacle::Silent || obstacle == Obstacle::OtherService) {
+        state = MemberState::Shedding;
     } else if (obstacle == Obstacle::Stopping || obstacle == Obstacle::Draining) {
         state = MemberState::Draining;
-    } else if (obstacle == Obstacle::Silent || obstacle == Obstacle::OtherService) {
-        state = MemberState::Shedding;
     }
     const uint16_t slots = this->latestReport ? this->latestReport->slots : this->settings.slots;
     this->peers.setSelf(state, static_cast<uint16_t>(slots * weightPerSlot), slots);
