--- a/src/packet/directory/holder_check.cpp
+++ b/src/packet/directory/holder_check.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr Duration repeatPeriod = 50ms; ///< A query or answer may be lost; 16 trips between zones and back.
-    constexpr uint32_t goneQuestions = 6; ///< Then an agent that was found gone is not waited for: callers of dead flows are told within 0.4 s.
+    constexpr uint32_t goneQuestions = 6; ///< Then an agent that was found gone is not waited for: it holds a round up for 0.35 s, less than the 0.4 s for a dead flow.
     constexpr Duration silenceMemory = 1s; ///< An agent that was silent longer ago may be back in reach.
     constexpr Duration longestCheck = 1200ms; ///< Then the caller's next retransmission begins another.
     constexpr Duration timePerAgent = 1500us; ///< Least time between two rounds for each agent that is asked; limits queries to some 670 a second.
